Add the thin whole path from caller to target

Cause: nothing existed. A request has to go through separate processes before any promise about it can be shown.

Ruled out: deserialization that requires every field, because an absent optional list in a configuration file must mean "unchanged"; null checks of creator properties report missing fields instead.

Nothing is shown yet about kills, partitions or store outages.

--- /dev/null
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/configuration/ConfigurationDocument.java
@@ -0,0 +1,11 @@
+package io.fireflywalk.core.configuration;
+
+/** A named, immutable configuration document. */
+public sealed interface ConfigurationDocument permits ClientAccount, ApiKey, Service, Target {
+
+    /** Returns the kind, which together with the name identifies the document. */
+    DocumentKind kind();
+
+    /** Returns the name, unique within the kind. */
+    String name();
+}
--- /dev/null
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/configuration/ConfigurationSnapshot.java
@@ -0,0 +1,166 @@
+package io.fireflywalk.core.configuration;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/** All documents at one version. Immutable, so safe to share between threads. */
+public final class ConfigurationSnapshot {
+    private static final ConfigurationSnapshot EMPTY =
+            new ConfigurationSnapshot(0, Map.of(), Map.of(), Map.of(), Map.of());
+
+    private final long version;
+    private final Map<String, ClientAccount> clientAccounts;
+    private final Map<String, ApiKey> apiKeys;
+    private final Map<String, Service> services;
+    private final Map<String, Target> targets;
+    private final Map<String, List<Target>> targetsByService;
+
+    private ConfigurationSnapshot(
+            long version,
+            Map<String, ClientAccount> clientAccounts,
+            Map<String, ApiKey> apiKeys,
+            Map<String, Service> services,
+            Map<String, Target> targets) {
+        this.version = version;
+        this.clientAccounts = clientAccounts;
+        this.apiKeys = apiKeys;
+        this.services = services;
+        this.targets = targets;
+        this.targetsByService = groupByService(targets.values());
+    }
+
+    /** Returns the snapshot of version 0 without documents. */
+    public static ConfigurationSnapshot empty() {
+        return EMPTY;
+    }
+
+    /** Returns the version, which only grows. */
+    public long version() {
+        return version;
+    }
+
+    /** Returns the client account of the name. */
+    public Optional<ClientAccount> clientAccount(String name) {
+        return Optional.ofNullable(clientAccounts.get(name));
+    }
+
+    /** Returns the key of the identifier, also if it is revoked. */
+    public Optional<ApiKey> apiKey(String name) {
+        return Optional.ofNullable(apiKeys.get(name));
+    }
+
+    /** Returns the service of the name. */
+    public Optional<Service> service(String name) {
+        return Optional.ofNullable(services.get(name));
+    }
+
+    /** Returns the target of the name. */
+    public Optional<Target> target(String name) {
+        return Optional.ofNullable(targets.get(name));
+    }
+
+    /** Returns the targets of a service, leaving ones included, ordered by name. */
+    public List<Target> targetsOf(String service) {
+        return targetsByService.getOrDefault(service, List.of());
+    }
+
+    /** Returns all client accounts, ordered by name. */
+    public Collection<ClientAccount> clientAccounts() {
+        return clientAccounts.values();
+    }
+
+    /** Returns all keys, ordered by name. */
+    public Collection<ApiKey> apiKeys() {
+        return apiKeys.values();
+    }
+
+    /** Returns all services, ordered by name. */
+    public Collection<Service> services() {
+        return services.values();
+    }
+
+    /** Returns all targets, ordered by name. */
+    public Collection<Target> targets() {
+        return targets.values();
+    }
+
+    /** Returns all documents, ordered by kind and name. */
+    public List<ConfigurationDocument> documents() {
+        List<ConfigurationDocument> documents = new ArrayList<>();
+        documents.addAll(clientAccounts.values());
+        documents.addAll(apiKeys.values());
+        documents.addAll(services.values());
+        documents.addAll(targets.values());
+        return documents;
+    }
+
+    /** Returns the service and route of a plain request, by the longest prefix over all services. */
+    public Optional<RoutedService> plainRoute(String path, String method) {
+        Optional<RoutedService> best = Optional.empty();
+        for (Service service : services.values()) {
+            Optional<Route> route = service.route(path, method);
+            if (route.isPresent()
+                    && (best.isEmpty() || isLonger(route.get(), best.get().route()))) {
+                best = Optional.of(new RoutedService(service, route.get()));
+            }
+        }
+        return best;
+    }
+
+    /** Tells whether any plain route matches the path, whatever its methods. */
+    public boolean hasPlainPath(String path) {
+        return services.values().stream()
+                .flatMap(service -> service.routes().stream())
+                .anyMatch(route -> route.matches(path));
+    }
+
+    /** Returns the snapshot after the changes. */
+    public ConfigurationSnapshot apply(long newVersion, List<DocumentChange> changes) {
+        Map<String, ClientAccount> newAccounts = new TreeMap<>(clientAccounts);
+        Map<String, ApiKey> newKeys = new TreeMap<>(apiKeys);
+        Map<String, Service> newServices = new TreeMap<>(services);
+        Map<String, Target> newTargets = new TreeMap<>(targets);
+        for (DocumentChange change : changes) {
+            switch (change.kind()) {
+                case CLIENT_ACCOUNT -> applyTo(newAccounts, change, ClientAccount.class);
+                case API_KEY -> applyTo(newKeys, change, ApiKey.class);
+                case SERVICE -> applyTo(newServices, change, Service.class);
+                case TARGET -> applyTo(newTargets, change, Target.class);
+                default -> throw new IllegalArgumentException("unknown document kind " + change.kind());
+            }
+        }
+        return new ConfigurationSnapshot(
+                newVersion,
+                Collections.unmodifiableMap(newAccounts),
+                Collections.unmodifiableMap(newKeys),
+                Collections.unmodifiableMap(newServices),
+                Collections.unmodifiableMap(newTargets));
+    }
+
+    private static <T extends ConfigurationDocument> void applyTo(
+            Map<String, T> documents, DocumentChange change, Class<T> type) {
+        if (change.document().isPresent()) {
+            documents.put(change.name(), type.cast(change.document().get()));
+        } else {
+            documents.remove(change.name());
+        }
+    }
+
+    private static boolean isLonger(Route candidate, Route current) {
+        return candidate.pathPrefix().length() > current.pathPrefix().length();
+    }
+
+    private static Map<String, List<Target>> groupByService(Collection<Target> targets) {
+        Map<String, List<Target>> grouped = new TreeMap<>();
+        for (Target target : targets) {
+            grouped.computeIfAbsent(target.service(), name -> new ArrayList<>()).add(target);
+        }
+        grouped.replaceAll((name, members) -> List.copyOf(members));
+        return grouped;
+    }
+}
--- /dev/null
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/configuration/Target.java
@@ -0,0 +1,37 @@
+package io.fireflywalk.core.configuration;
+
+/**
+ * A target of requests: a plain service's process, or a runner with a model engine.
+ *
+ * @param name unique name
+ * @param service service that the target serves
+ * @param host IP address
+ * @param port TCP port
+ * @param availabilityZone availability zone of the target
+ * @param modelVersion version of the model that a runner serves; empty for plain services
+ * @param charge whether the platform may reclaim the target
+ * @param orderChecking whether the target refuses orders with an old fencing token
+ * @param leaving true if the target gets no new requests
+ */
+public record Target(
+        String name,
+        String service,
+        String host,
+        int port,
+        String availabilityZone,
+        String modelVersion,
+        TargetCharge charge,
+        OrderChecking orderChecking,
+        boolean leaving)
+        implements ConfigurationDocument {
+
+    @Override
+    public DocumentKind kind() {
+        return DocumentKind.TARGET;
+    }
+
+    /** Returns the same target marked as leaving. */
+    public Target leave() {
+        return new Target(name, service, host, port, availabilityZone, modelVersion, charge, orderChecking, true);
+    }
+}
--- /dev/null
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/request/package-info.java
@@ -0,0 +1,2 @@
+/** State of one request and its attempts, and the parsing of streamed answers. */
+package io.fireflywalk.core.request;
--- /dev/null
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/routing/TargetSelector.java
@@ -0,0 +1,26 @@
+package io.fireflywalk.core.routing;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+/** Chooses the target of a request among the eligible ones. */
+@FunctionalInterface
+public interface TargetSelector {
+
+    /** Returns the decision, or empty if there is no candidate. */
+    Optional<RoutingDecision> select(List<TargetLoad> candidates, RandomGenerator random);
+
+    /** Returns the selector that takes the less loaded of two candidates drawn at random. */
+    static TargetSelector powerOfTwoChoices() {
+        return (candidates, random) -> {
+            if (candidates.isEmpty()) {
+                return Optional.empty();
+            }
+            TargetLoad first = candidates.get(random.nextInt(candidates.size()));
+            TargetLoad second = candidates.get(random.nextInt(candidates.size()));
+            TargetLoad chosen = second.requestsInFlight() < first.requestsInFlight() ? second : first;
+            return Optional.of(new RoutingDecision(chosen.target(), List.of(first, second)));
+        };
+    }
+}
--- /dev/null
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Choice of the target of a request. */
+package io.fireflywalk.core.routing;
--- /dev/null
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/security/package-info.java
@@ -0,0 +1,2 @@
+/** Digests of secrets. */
+package io.fireflywalk.core.security;
--- /dev/null
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/DaemonMain.java
@@ -0,0 +1,84 @@
+package io.fireflywalk.daemon;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import io.fireflywalk.core.error.FireflywalkException;
+import io.fireflywalk.daemon.settings.DaemonSettings;
+import io.fireflywalk.daemon.settings.SettingsLoader;
+import io.fireflywalk.platform.table.HttpTableService;
+import io.fireflywalk.platform.time.VertxTimerService;
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import java.nio.file.Path;
+import java.time.Duration;
+
+/** Command line of the daemon. */
+public final class DaemonMain {
+    private static final int EXIT_FAILURE = 1;
+    private static final int EXIT_USAGE = 2;
+
+    private DaemonMain() {}
+
+    /** Options of the run command. */
+    static final class RunOptions {
+        @Parameter(names = "--settings", description = "YAML settings file", required = true)
+        Path settings;
+    }
+
+    /** Options of the demo command. */
+    static final class DemoOptions {
+        @Parameter(names = "--port", description = "TCP port for callers")
+        int port = 8080;
+    }
+
+    /** Runs the command that the arguments name. */
+    public static void main(String[] arguments) {
+        RunOptions run = new RunOptions();
+        DemoOptions demo = new DemoOptions();
+        JCommander commander = JCommander.newBuilder()
+                .programName("fireflywalkd")
+                .addCommand("run", run)
+                .addCommand("demo", demo)
+                .build();
+        try {
+            commander.parse(arguments);
+            if (commander.getParsedCommand() == null) {
+                commander.usage();
+                System.exit(EXIT_USAGE);
+            } else if (commander.getParsedCommand().equals("run")) {
+                run(SettingsLoader.load(run.settings));
+            } else {
+                Demo.run(demo.port);
+            }
+        } catch (ParameterException exception) {
+            System.err.println("fireflywalkd: " + exception.getMessage());
+            System.exit(EXIT_USAGE);
+        } catch (FireflywalkException exception) {
+            System.err.println("fireflywalkd: " + exception.getMessage());
+            System.exit(EXIT_FAILURE);
+        }
+    }
+
+    private static void run(DaemonSettings settings) {
+        Vertx vertx = Vertx.vertx();
+        Context context = vertx.getOrCreateContext();
+        context.runOnContext(ignored -> {
+            VertxTimerService timers = new VertxTimerService(vertx, context);
+            HttpTableService tables = new HttpTableService(
+                    vertx,
+                    settings.tableService().host(),
+                    settings.tableService().port(),
+                    Duration.ofMillis(settings.tableService().deadlineMilliseconds()));
+            Daemon daemon = new Daemon(vertx, settings, tables, timers);
+            daemon.start()
+                    .onSuccess(ports -> System.out.println(
+                            "listening on ports caller=" + ports.callerPort() + " operator=" + ports.operatorPort()))
+                    .onFailure(cause -> {
+                        System.err.println("fireflywalkd: " + cause.getMessage());
+                        Runtime.getRuntime().halt(EXIT_FAILURE);
+                    });
+            ShutdownHook.install(context, daemon);
+        });
+    }
+}
--- /dev/null
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ShutdownHook.java
@@ -0,0 +1,28 @@
+package io.fireflywalk.daemon;
+
+import io.reactivex.rxjava3.disposables.Disposable;
+import io.vertx.core.Context;
+import java.util.concurrent.CountDownLatch;
+
+/** Drains the daemon when the process gets SIGTERM or SIGINT. */
+final class ShutdownHook {
+    private ShutdownHook() {}
+
+    static void install(Context context, Daemon daemon) {
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(context, daemon), "shutdown"));
+    }
+
+    private static void drain(Context context, Daemon daemon) {
+        CountDownLatch stopped = new CountDownLatch(1);
+        context.runOnContext(ignored -> {
+            Disposable unused = daemon.shutDown().subscribe(stopped::countDown, cause -> stopped.countDown());
+        });
+        try {
+            stopped.await();
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+        // The exit status of a JVM that a signal ends is 128 plus the signal; a graceful shutdown must report 0.
+        Runtime.getRuntime().halt(0);
+    }
+}
--- /dev/null
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** The configuration in force at this instance. */
+package io.fireflywalk.daemon.configuration;
--- /dev/null
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/ErrorResponder.java
@@ -0,0 +1,79 @@
+package io.fireflywalk.daemon.gateway;
+
+import io.fireflywalk.core.error.ErrorKind;
+import io.fireflywalk.core.error.FireflywalkException;
+import io.fireflywalk.core.error.LogLevel;
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.json.JsonObject;
+import org.jboss.logging.Logger;
+
+/** Answers errors by the table of error kinds. Stateless. */
+public final class ErrorResponder {
+    /** Header that states whether the request was run. */
+    public static final String RUN_STATE_HEADER = "x-fireflywalk-run-state";
+
+    private static final Logger LOG = Logger.getLogger(ErrorResponder.class);
+
+    private ErrorResponder() {}
+
+    /** Returns the error as an exception of a known kind. */
+    public static FireflywalkException asKnown(Throwable cause, String location) {
+        if (cause instanceof FireflywalkException known) {
+            return known;
+        }
+        return new FireflywalkException(ErrorKind.INTERNAL, "internal error", location, cause);
+    }
+
+    /** Ends the response with the error, or with an error event if the response has begun. */
+    public static void respond(HttpServerResponse response, String requestId, FireflywalkException exception) {
+        log(requestId, exception);
+        if (response.ended() || response.closed()) {
+            return;
+        }
+        String body = body(requestId, exception).encode();
+        if (response.headWritten()) {
+            // The connection is closed without the final chunk, so that the caller cannot take the answer as complete.
+            response.write("event: error\ndata: " + body + "\n\n").onComplete(ignored -> response.reset());
+            return;
+        }
+        response.setStatusCode(exception.kind().httpStatus())
+                .putHeader("content-type", "application/json")
+                .putHeader(RUN_STATE_HEADER, exception.runState().name())
+                .end(body);
+    }
+
+    private static JsonObject body(String requestId, FireflywalkException exception) {
+        return new JsonObject()
+                .put(
+                        "error",
+                        new JsonObject()
+                                .put("message", exception.detail())
+                                .put(
+                                        "type",
+                                        exception.kind().httpStatus() < 500 ? "invalid_request_error" : "server_error")
+                                .put("code", exception.kind().code())
+                                .put("run_state", exception.runState().name())
+                                .put("retryable", exception.kind().retryable())
+                                .put("request_id", requestId));
+    }
+
+    private static void log(String requestId, FireflywalkException exception) {
+        LOG.logf(
+                level(exception.kind().logLevel()),
+                exception.kind() == ErrorKind.INTERNAL ? exception : null,
+                "event=request_refused request=%s kind=%s run_state=%s detail=\"%s\"",
+                requestId,
+                exception.kind().code(),
+                exception.runState(),
+                exception.detail());
+    }
+
+    private static Logger.Level level(LogLevel level) {
+        return switch (level) {
+            case DEBUG -> Logger.Level.DEBUG;
+            case INFO -> Logger.Level.INFO;
+            case WARN -> Logger.Level.WARN;
+            case ERROR -> Logger.Level.ERROR;
+        };
+    }
+}
--- /dev/null
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/KeyAuthenticator.java
@@ -0,0 +1,45 @@
+package io.fireflywalk.daemon.gateway;
+
+import io.fireflywalk.core.configuration.ApiKey;
+import io.fireflywalk.core.configuration.ConfigurationSnapshot;
+import io.fireflywalk.core.error.ErrorKind;
+import io.fireflywalk.core.error.FireflywalkException;
+import io.fireflywalk.core.security.SecretDigest;
+import io.vertx.core.MultiMap;
+import java.util.Optional;
+
+/**
+ * Finds the client account of a request by its key. A key has the form {@code name.secret}; the secret is compared by
+ * digest in constant time. Stateless.
+ */
+public final class KeyAuthenticator {
+    private static final String BEARER = "Bearer ";
+    private static final String LOCATION = "key";
+    /** Compared when the key name is unknown, so that unknown names take the same time as known ones. */
+    private static final String DUMMY_DIGEST = "0".repeat(64);
+
+    private KeyAuthenticator() {}
+
+    /** Returns the account of the key in the headers. */
+    public static String authenticate(ConfigurationSnapshot snapshot, MultiMap headers) throws FireflywalkException {
+        String key = keyOf(headers)
+                .orElseThrow(() -> new FireflywalkException(ErrorKind.MISSING_KEY, "no key was sent", LOCATION));
+        int dot = key.indexOf('.');
+        String name = dot < 0 ? "" : key.substring(0, dot);
+        Optional<ApiKey> document = snapshot.apiKey(name);
+        boolean matches = SecretDigest.matches(
+                key.substring(dot + 1), document.map(ApiKey::secretDigest).orElse(DUMMY_DIGEST));
+        if (document.isEmpty() || document.get().revoked() || !matches) {
+            throw new FireflywalkException(ErrorKind.UNKNOWN_KEY, "the key is unknown or revoked", LOCATION);
+        }
+        return document.get().clientAccount();
+    }
+
+    private static Optional<String> keyOf(MultiMap headers) {
+        String authorization = headers.get("authorization");
+        if (authorization != null && authorization.startsWith(BEARER)) {
+            return Optional.of(authorization.substring(BEARER.length()));
+        }
+        return Optional.ofNullable(headers.get("x-api-key"));
+    }
+}
--- /dev/null
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The daemon that every instance runs. */
+package io.fireflywalk.daemon;
--- /dev/null
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/settings/SettingsLoader.java
@@ -0,0 +1,109 @@
+package io.fireflywalk.daemon.settings;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.fireflywalk.core.error.ErrorKind;
+import io.fireflywalk.core.error.FireflywalkException;
+import io.fireflywalk.platform.codec.Codec;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Reads settings files over the defaults and checks them. Stateless. */
+public final class SettingsLoader {
+    private static final String DEFAULTS = "/default-settings.yaml";
+    private static final int MAXIMUM_PORT = 65_535;
+
+    private SettingsLoader() {}
+
+    /** Returns the default settings. */
+    public static DaemonSettings defaults() throws FireflywalkException {
+        return parse("", "defaults");
+    }
+
+    /** Reads a settings file; fields that it lacks keep their defaults. */
+    public static DaemonSettings load(Path file) throws FireflywalkException {
+        try {
+            return parse(Files.readString(file), file.toString());
+        } catch (IOException exception) {
+            throw new FireflywalkException(
+                    ErrorKind.CONFIGURATION_INVALID, "cannot read settings", file.toString(), exception);
+        }
+    }
+
+    /** Parses the text of a settings file; the location names it in errors. */
+    public static DaemonSettings parse(String yaml, String location) throws FireflywalkException {
+        try (InputStream stream = SettingsLoader.class.getResourceAsStream(DEFAULTS)) {
+            String defaults = new String(stream.readAllBytes(), StandardCharsets.UTF_8);
+            JsonNode merged = Codec.yaml().mapper().readTree(defaults);
+            JsonNode overrides = Codec.yaml().mapper().readTree(yaml);
+            if (overrides instanceof ObjectNode fields) {
+                merge((ObjectNode) merged, fields);
+            } else if (!overrides.isMissingNode() && !overrides.isNull()) {
+                throw new FireflywalkException(ErrorKind.CONFIGURATION_INVALID, "settings must be a map", location);
+            }
+            DaemonSettings settings = Codec.json().read(merged.toString(), DaemonSettings.class, location);
+            requireValid(settings, location);
+            return settings;
+        } catch (JsonProcessingException exception) {
+            throw new FireflywalkException(
+                    ErrorKind.CONFIGURATION_INVALID, exception.getOriginalMessage(), location, exception);
+        } catch (IOException exception) {
+            throw new FireflywalkException(ErrorKind.INTERNAL, "cannot read the defaults", location, exception);
+        }
+    }
+
+    private static void merge(ObjectNode base, ObjectNode overrides) {
+        overrides.properties().forEach(field -> {
+            JsonNode present = base.get(field.getKey());
+            if (present instanceof ObjectNode presentFields && field.getValue() instanceof ObjectNode newFields) {
+                merge(presentFields, newFields);
+            } else {
+                base.set(field.getKey(), field.getValue());
+            }
+        });
+    }
+
+    private static void requireValid(DaemonSettings settings, String location) throws FireflywalkException {
+        List<String> problems = new ArrayList<>();
+        requirePort(settings.listen().callerPort(), "listen.callerPort", problems);
+        requirePort(settings.listen().operatorPort(), "listen.operatorPort", problems);
+        requirePort(settings.listen().peerPort(), "listen.peerPort", problems);
+        requirePositive(settings.tableService().deadlineMilliseconds(), "tableService.deadlineMilliseconds", problems);
+        requirePositive(settings.configuration().pollMilliseconds(), "configuration.pollMilliseconds", problems);
+        requirePositive(
+                settings.configuration().freshnessLimitMilliseconds(),
+                "configuration.freshnessLimitMilliseconds",
+                problems);
+        requirePositive(settings.limits().bodyBytes(), "limits.bodyBytes", problems);
+        requirePositive(settings.limits().bodyMemoryBytes(), "limits.bodyMemoryBytes", problems);
+        requirePositive(settings.limits().headerBytes(), "limits.headerBytes", problems);
+        requirePositive(settings.limits().requestLineBytes(), "limits.requestLineBytes", problems);
+        requirePositive(settings.limits().callerConnections(), "limits.callerConnections", problems);
+        requirePositive(settings.limits().slowSenderMilliseconds(), "limits.slowSenderMilliseconds", problems);
+        requirePositive(settings.targets().connectMilliseconds(), "targets.connectMilliseconds", problems);
+        requirePositive(settings.targets().idlePooledMilliseconds(), "targets.idlePooledMilliseconds", problems);
+        requirePositive(settings.usage().windowMilliseconds(), "usage.windowMilliseconds", problems);
+        requirePositive(settings.usage().flushMilliseconds(), "usage.flushMilliseconds", problems);
+        if (!problems.isEmpty()) {
+            throw new FireflywalkException(ErrorKind.CONFIGURATION_INVALID, String.join("; ", problems), location);
+        }
+    }
+
+    private static void requirePort(int port, String path, List<String> problems) {
+        if (port < 0 || port > MAXIMUM_PORT) {
+            problems.add(path + " must be 0 to " + MAXIMUM_PORT);
+        }
+    }
+
+    private static void requirePositive(long value, String path, List<String> problems) {
+        if (value <= 0) {
+            problems.add(path + " must be greater than 0");
+        }
+    }
+}
--- /dev/null
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of the daemon, read from YAML. */
+package io.fireflywalk.daemon.settings;
--- /dev/null
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/usage/package-info.java
@@ -0,0 +1,2 @@
+/** Recording of usage. */
+package io.fireflywalk.daemon.usage;
--- /dev/null
+++ b/fireflywalk-operator/src/main/java/io/fireflywalk/operator/cli/package-info.java
@@ -0,0 +1,2 @@
+/** Command-line client of operators. */
+package io.fireflywalk.operator.cli;
--- /dev/null
+++ b/fireflywalk-operator/src/main/java/io/fireflywalk/operator/package-info.java
@@ -0,0 +1,2 @@
+/** Library with which operators write their configuration as code. */
+package io.fireflywalk.operator;
--- /dev/null
+++ b/fireflywalk-platform/src/main/java/io/fireflywalk/platform/codec/Codec.java
@@ -0,0 +1,93 @@
+package io.fireflywalk.platform.codec;
+
+import com.fasterxml.jackson.core.JsonLocation;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.MapperFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.databind.cfg.MapperBuilder;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.dataformat.yaml.YAMLGenerator;
+import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import com.fasterxml.jackson.datatype.jsr310.JavaTimeModule;
+import io.fireflywalk.core.error.ErrorKind;
+import io.fireflywalk.core.error.FireflywalkException;
+
+/** Strict codec of records in one format. Unknown fields and missing fields that are not optional are errors. Thread-safe. */
+public final class Codec {
+    private static final Codec JSON = new Codec(strict(JsonMapper.builder()));
+    private static final Codec YAML = new Codec(strict(YAMLMapper.builder()
+            .disable(YAMLGenerator.Feature.WRITE_DOC_START_MARKER)
+            .enable(YAMLGenerator.Feature.MINIMIZE_QUOTES)
+            .disable(YAMLGenerator.Feature.SPLIT_LINES)));
+
+    private final ObjectMapper mapper;
+
+    private Codec(ObjectMapper mapper) {
+        this.mapper = mapper;
+    }
+
+    /** Returns the codec of JSON. */
+    public static Codec json() {
+        return JSON;
+    }
+
+    /** Returns the codec of YAML. */
+    public static Codec yaml() {
+        return YAML;
+    }
+
+    /** Returns the text of a record. */
+    public String write(Object value) {
+        try {
+            return mapper.writeValueAsString(value);
+        } catch (JsonProcessingException exception) {
+            throw new IllegalArgumentException(
+                    "cannot encode " + value.getClass().getName(), exception);
+        }
+    }
+
+    /** Parses a record; the location names the source in the error message. */
+    public <T> T read(String text, Class<T> type, String location) throws FireflywalkException {
+        try {
+            T value = mapper.readValue(text, type);
+            if (value == null) {
+                throw new FireflywalkException(ErrorKind.INVALID_JSON, "document is empty", location);
+            }
+            return value;
+        } catch (JsonProcessingException exception) {
+            throw new FireflywalkException(
+                    ErrorKind.INVALID_JSON, exception.getOriginalMessage(), describe(exception, location), exception);
+        }
+    }
+
+    /** Returns the mapper, for parts that need its streaming interface. */
+    public ObjectMapper mapper() {
+        return mapper;
+    }
+
+    private static String describe(JsonProcessingException exception, String location) {
+        JsonLocation position = exception.getLocation();
+        if (position == null) {
+            return location;
+        }
+        return location + ", line " + position.getLineNr() + ", column " + position.getColumnNr();
+    }
+
+    private static <M extends ObjectMapper, B extends MapperBuilder<M, B>> ObjectMapper strict(
+            MapperBuilder<M, B> builder) {
+        return builder.addModule(new Jdk8Module())
+                .addModule(new JavaTimeModule())
+                .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+                .enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES)
+                .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+                .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+                .enable(MapperFeature.SORT_PROPERTIES_ALPHABETICALLY)
+                .enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS)
+                .disable(SerializationFeature.WRITE_DATES_AS_TIMESTAMPS)
+                .disable(MapperFeature.ALLOW_COERCION_OF_SCALARS)
+                .build();
+    }
+}
--- /dev/null
+++ b/fireflywalk-platform/src/main/java/io/fireflywalk/platform/configuration/ConfigurationFile.java
@@ -0,0 +1,64 @@
+package io.fireflywalk.platform.configuration;
+
+import io.fireflywalk.core.configuration.ApiKey;
+import io.fireflywalk.core.configuration.ClientAccount;
+import io.fireflywalk.core.configuration.ConfigurationDocument;
+import io.fireflywalk.core.configuration.ConfigurationSnapshot;
+import io.fireflywalk.core.configuration.DocumentChange;
+import io.fireflywalk.core.configuration.Service;
+import io.fireflywalk.core.configuration.Target;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * A whole configuration in the form of a YAML file. An absent list leaves the documents of its kind as they are.
+ *
+ * @param clientAccounts client accounts
+ * @param apiKeys keys
+ * @param services services
+ * @param targets targets
+ */
+public record ConfigurationFile(
+        Optional<List<ClientAccount>> clientAccounts,
+        Optional<List<ApiKey>> apiKeys,
+        Optional<List<Service>> services,
+        Optional<List<Target>> targets) {
+
+    /** Returns the file form of a snapshot. */
+    public static ConfigurationFile of(ConfigurationSnapshot snapshot) {
+        return new ConfigurationFile(
+                Optional.of(List.copyOf(snapshot.clientAccounts())),
+                Optional.of(List.copyOf(snapshot.apiKeys())),
+                Optional.of(List.copyOf(snapshot.services())),
+                Optional.of(List.copyOf(snapshot.targets())));
+    }
+
+    /** Returns the changes that turn the snapshot into this configuration, removals last. */
+    public List<DocumentChange> changesFrom(ConfigurationSnapshot snapshot) {
+        List<DocumentChange> changes = new ArrayList<>();
+        List<DocumentChange> removals = new ArrayList<>();
+        collect(clientAccounts, List.copyOf(snapshot.clientAccounts()), changes, removals);
+        collect(apiKeys, List.copyOf(snapshot.apiKeys()), changes, removals);
+        collect(services, List.copyOf(snapshot.services()), changes, removals);
+        collect(targets, List.copyOf(snapshot.targets()), changes, removals);
+        changes.addAll(removals);
+        return List.copyOf(changes);
+    }
+
+    private static <T extends ConfigurationDocument> void collect(
+            Optional<List<T>> wanted, List<T> present, List<DocumentChange> changes, List<DocumentChange> removals) {
+        if (wanted.isEmpty()) {
+            return;
+        }
+        wanted.get().stream()
+                .filter(document -> !present.contains(document))
+                .map(DocumentChange::put)
+                .forEach(changes::add);
+        present.stream()
+                .filter(document ->
+                        wanted.get().stream().noneMatch(other -> other.name().equals(document.name())))
+                .map(document -> DocumentChange.remove(document.kind(), document.name()))
+                .forEach(removals::add);
+    }
+}
--- /dev/null
+++ b/fireflywalk-platform/src/main/java/io/fireflywalk/platform/http/package-info.java
@@ -0,0 +1,2 @@
+/** Bridges between Vert.x and RxJava. */
+package io.fireflywalk.platform.http;
--- /dev/null
+++ b/fireflywalk-platform/src/main/java/io/fireflywalk/platform/table/HttpTableService.java
@@ -0,0 +1,116 @@
+package io.fireflywalk.platform.table;
+
+import io.fireflywalk.core.error.ErrorKind;
+import io.fireflywalk.core.error.FireflywalkException;
+import io.fireflywalk.platform.codec.Codec;
+import io.fireflywalk.platform.http.RxFutures;
+import io.reactivex.rxjava3.core.Single;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+/** Client of the table service over HTTP with JSON. Each call has a deadline. Thread-safe. */
+public final class HttpTableService implements TableService {
+    private static final int MAXIMUM_CONNECTIONS = 8;
+    private static final int STATUS_OK = 200;
+    private static final int STATUS_NOT_FOUND = 404;
+    private static final int STATUS_CONFLICT = 409;
+    private static final int FIRST_SERVER_ERROR = 500;
+
+    private final HttpClient client;
+    private final String host;
+    private final int port;
+    private final Duration deadline;
+
+    public HttpTableService(Vertx vertx, String host, int port, Duration deadline) {
+        this.client = vertx.httpClientBuilder()
+                .with(new HttpClientOptions().setConnectTimeout((int) deadline.toMillis()))
+                .with(new io.vertx.core.http.PoolOptions().setHttp1MaxSize(MAXIMUM_CONNECTIONS))
+                .build();
+        this.host = host;
+        this.port = port;
+        this.deadline = deadline;
+    }
+
+    @Override
+    public Single<TransactionResult> execute(Transaction transaction) {
+        Buffer body = Buffer.buffer(Codec.json().write(transaction));
+        return call(HttpMethod.POST, "/v1/transactions", body, ErrorKind.STORE_OUTCOME_UNKNOWN)
+                .map(answer -> {
+                    if (answer.status() != STATUS_OK && answer.status() != STATUS_CONFLICT) {
+                        throw unexpected(answer, ErrorKind.STORE_OUTCOME_UNKNOWN);
+                    }
+                    return Codec.json().read(answer.body(), TransactionResult.class, "table service");
+                });
+    }
+
+    @Override
+    public Single<Optional<Row>> read(String table, String key) {
+        String path = "/v1/rows/" + encode(table) + "/" + encode(key);
+        return call(HttpMethod.GET, path, Buffer.buffer(), ErrorKind.STORE_UNAVAILABLE)
+                .map(answer -> {
+                    if (answer.status() == STATUS_NOT_FOUND) {
+                        return Optional.empty();
+                    }
+                    requireSuccess(answer);
+                    return Optional.of(Codec.json().read(answer.body(), Row.class, "table service"));
+                });
+    }
+
+    @Override
+    public Single<List<Row>> scan(String table, String prefix, String after, int limit) {
+        String path = "/v1/rows/" + encode(table) + "?prefix=" + encode(prefix) + "&after=" + encode(after) + "&limit="
+                + limit;
+        return call(HttpMethod.GET, path, Buffer.buffer(), ErrorKind.STORE_UNAVAILABLE)
+                .map(answer -> {
+                    requireSuccess(answer);
+                    return List.of(Codec.json().read(answer.body(), Row[].class, "table service"));
+                });
+    }
+
+    private Single<Answer> call(HttpMethod method, String path, Buffer body, ErrorKind kindOnFailure) {
+        RequestOptions options = new RequestOptions()
+                .setMethod(method)
+                .setHost(host)
+                .setPort(port)
+                .setURI(path)
+                .setTimeout(deadline.toMillis())
+                .setIdleTimeout(deadline.toMillis());
+        return RxFutures.single(() -> send(options, body))
+                .onErrorResumeNext(cause -> Single.error(
+                        new FireflywalkException(kindOnFailure, "no answer: " + cause, "table service", cause)));
+    }
+
+    private Future<Answer> send(RequestOptions options, Buffer body) {
+        return client.request(options)
+                .compose(request -> request.send(body))
+                .compose(response -> response.body()
+                        .map(content -> new Answer(response.statusCode(), content.toString(StandardCharsets.UTF_8))));
+    }
+
+    private static void requireSuccess(Answer answer) throws FireflywalkException {
+        if (answer.status() != STATUS_OK) {
+            throw unexpected(answer, ErrorKind.STORE_UNAVAILABLE);
+        }
+    }
+
+    private static FireflywalkException unexpected(Answer answer, ErrorKind kindOnServerError) {
+        ErrorKind kind = answer.status() >= FIRST_SERVER_ERROR ? kindOnServerError : ErrorKind.INTERNAL;
+        return new FireflywalkException(kind, "unexpected status " + answer.status(), "table service");
+    }
+
+    private static String encode(String text) {
+        return URLEncoder.encode(text, StandardCharsets.UTF_8);
+    }
+
+    private record Answer(int status, String body) {}
+}
--- /dev/null
+++ b/fireflywalk-platform/src/main/java/io/fireflywalk/platform/table/Row.java
@@ -0,0 +1,11 @@
+package io.fireflywalk.platform.table;
+
+/**
+ * A row of the table service.
+ *
+ * @param table name of the table
+ * @param key key of the row within the table
+ * @param version version that grows by each write; at least 1
+ * @param value content
+ */
+public record Row(String table, String key, long version, String value) {}
--- /dev/null
+++ b/fireflywalk-platform/src/main/java/io/fireflywalk/platform/table/package-info.java
@@ -0,0 +1,2 @@
+/** Typed client of the platform's transactional table service. */
+package io.fireflywalk.platform.table;
--- /dev/null
+++ b/fireflywalk-platform/src/main/java/io/fireflywalk/platform/time/VertxTimerService.java
@@ -0,0 +1,54 @@
+package io.fireflywalk.platform.time;
+
+import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Flowable;
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.schedulers.Schedulers;
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+
+/** Timer service on the timers of one Vert.x context, so that subscribers run on its event loop. Thread-safe. */
+public final class VertxTimerService implements TimerService {
+    private final Vertx vertx;
+    private final Scheduler scheduler;
+
+    public VertxTimerService(Vertx vertx, Context context) {
+        this.vertx = vertx;
+        this.scheduler = Schedulers.from(command -> context.runOnContext(ignored -> command.run()));
+    }
+
+    @Override
+    public long monotonicNanoseconds() {
+        return System.nanoTime();
+    }
+
+    @Override
+    public long wallClockMilliseconds() {
+        return System.currentTimeMillis();
+    }
+
+    @Override
+    public Completable after(Duration delay) {
+        return Completable.create(emitter -> {
+            long timer = vertx.setTimer(milliseconds(delay), ignored -> emitter.onComplete());
+            emitter.setCancellable(() -> vertx.cancelTimer(timer));
+        });
+    }
+
+    @Override
+    public Flowable<Long> every(Duration period) {
+        return Flowable.interval(period.toNanos(), TimeUnit.NANOSECONDS, scheduler)
+                .onBackpressureDrop();
+    }
+
+    @Override
+    public Scheduler scheduler() {
+        return scheduler;
+    }
+
+    private static long milliseconds(Duration delay) {
+        return Math.max(1, delay.toMillis());
+    }
+}
--- /dev/null
+++ b/fireflywalk-standin/src/main/java/io/fireflywalk/standin/PlainServiceServer.java
@@ -0,0 +1,41 @@
+package io.fireflywalk.standin;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+
+/** Plain service that answers with what it received and counts its executions. Runs on one event loop. */
+public final class PlainServiceServer {
+    private final HttpServer server;
+    private int executions;
+
+    public PlainServiceServer(Vertx vertx) {
+        this.server = vertx.createHttpServer().requestHandler(this::handle);
+    }
+
+    /** Starts to listen and returns the bound port. */
+    public Future<Integer> listen(String host, int port) {
+        return server.listen(port, host).map(HttpServer::actualPort);
+    }
+
+    private void handle(HttpServerRequest request) {
+        request.body().onSuccess(body -> answer(request, body));
+    }
+
+    private void answer(HttpServerRequest request, Buffer body) {
+        executions++;
+        JsonArray headerNames = new JsonArray();
+        request.headers().names().stream().sorted().forEach(headerNames::add);
+        JsonObject answer = new JsonObject()
+                .put("method", request.method().name())
+                .put("uri", request.uri())
+                .put("headerNames", headerNames)
+                .put("body", body.toString())
+                .put("execution", executions);
+        request.response().putHeader("content-type", "application/json").end(answer.encode());
+    }
+}
