--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/Daemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/Daemon.java
@@ -10,6 +10,7 @@
 import io.fireflywalk.daemon.gateway.TargetPool;
 import io.fireflywalk.daemon.operators.ConfigurationChanger;
 import io.fireflywalk.daemon.operators.OperatorServer;
+import io.fireflywalk.daemon.peer.PeerServer;
 import io.fireflywalk.daemon.settings.DaemonSettings;
 import io.fireflywalk.daemon.usage.UsageRecorder;
 import io.fireflywalk.platform.configuration.ConfigurationRepository;
@@ -38,6 +39,7 @@
     private final UsageRecorder usage;
     private final GatewayServer gateway;
     private final OperatorServer operators;
+    private final PeerServer peers;
     private boolean draining;
 
     public Daemon(Vertx vertx, DaemonSettings settings, TableService tables, TimerService timers) {
@@ -73,6 +75,7 @@
                 tables,
                 metrics,
                 settings.operatorKeys());
+        this.peers = new PeerServer(vertx);
         metrics.register("requests_in_flight", (Gauge<Integer>) gateway::requestsInFlight);
         metrics.register(
                 "configuration_version", (Gauge<Long>) () -> watcher.snapshot().version());
@@ -86,10 +89,12 @@
         return gateway.listen(host, settings.listen().callerPort())
                 .compose(callerPort -> operators
                         .listen(host, settings.listen().operatorPort())
-                        .map(operatorPort -> new BoundPorts(callerPort, operatorPort)))
+                        .compose(operatorPort -> peers.listen(
+                                        host, settings.listen().peerPort())
+                                .map(peerPort -> new BoundPorts(callerPort, operatorPort, peerPort))))
                 .onSuccess(ports -> LOG.infof(
-                        "event=started instance=%s caller_port=%d operator_port=%d",
-                        settings.instance().name(), ports.callerPort(), ports.operatorPort()));
+                        "event=started instance=%s caller_port=%d operator_port=%d peer_port=%d",
+                        settings.instance().name(), ports.callerPort(), ports.operatorPort(), ports.peerPort()));
     }
 
     /** Tells whether the balancer should send callers to this instance. */
@@ -118,5 +123,5 @@
     }
 
     /** Ports that the instance listens on. */
-    public record BoundPorts(int callerPort, int operatorPort) {}
+    public record BoundPorts(int callerPort, int operatorPort, int peerPort) {}
 }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/DaemonMain.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/DaemonMain.java
@@ -72,8 +72,8 @@
                     Duration.ofMillis(settings.tableService().deadlineMilliseconds()));
             Daemon daemon = new Daemon(vertx, settings, tables, timers);
             daemon.start()
-                    .onSuccess(ports -> System.out.println(
-                            "listening on ports caller=" + ports.callerPort() + " operator=" + ports.operatorPort()))
+                    .onSuccess(ports -> System.out.println("listening on ports caller=" + ports.callerPort()
+                            + " operator=" + ports.operatorPort() + " peer=" + ports.peerPort()))
                     .onFailure(cause -> {
                         System.err.println("fireflywalkd: " + cause.getMessage());
                         Runtime.getRuntime().halt(EXIT_FAILURE);
--- /dev/null
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/peer/PeerClient.java
@@ -0,0 +1,59 @@
+package io.fireflywalk.daemon.peer;
+
+import io.fireflywalk.core.error.ErrorKind;
+import io.fireflywalk.core.error.FireflywalkException;
+import io.fireflywalk.core.membership.Member;
+import io.fireflywalk.platform.codec.Codec;
+import io.fireflywalk.platform.http.RxFutures;
+import io.reactivex.rxjava3.core.Single;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import java.time.Duration;
+
+/** Sends messages to peers. Each call has a deadline. Thread-safe. */
+public final class PeerClient {
+    private static final int CONNECTIONS_PER_PEER = 4;
+    private static final int MAXIMUM_WAITING_CALLS = 256;
+    private static final int STATUS_OK = 200;
+
+    private final HttpClient client;
+
+    public PeerClient(Vertx vertx, Duration connectTimeout) {
+        this.client = vertx.createHttpClient(
+                new HttpClientOptions().setConnectTimeout((int) connectTimeout.toMillis()),
+                new PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_PEER).setMaxWaitQueueSize(MAXIMUM_WAITING_CALLS));
+    }
+
+    /** Posts a message and emits the answer, or fails with an error of kind {@code TARGET_FAILED}. */
+    public <T> Single<T> call(Member peer, String path, Object message, Class<T> answerType, Duration deadline) {
+        Buffer body = Buffer.buffer(Codec.json().write(message));
+        RequestOptions options = new RequestOptions()
+                .setMethod(HttpMethod.POST)
+                .setHost(peer.host())
+                .setPort(peer.peerPort())
+                .setURI(path)
+                .setTimeout(deadline.toMillis())
+                .setIdleTimeout(deadline.toMillis());
+        return RxFutures.single(() -> send(options, body))
+                .flatMap(answer -> answer.status() == STATUS_OK
+                        ? Single.just(Codec.json().read(answer.body(), answerType, path))
+                        : Single.error(new IllegalStateException("status " + answer.status())))
+                .onErrorResumeNext(cause -> Single.error(new FireflywalkException(
+                        ErrorKind.TARGET_FAILED, "peer call failed: " + cause, peer.instance() + path, cause)));
+    }
+
+    private Future<Answer> send(RequestOptions options, Buffer body) {
+        return client.request(options)
+                .compose(request -> request.send(body))
+                .compose(response ->
+                        response.body().map(content -> new Answer(response.statusCode(), content.toString())));
+    }
+
+    private record Answer(int status, String body) {}
+}
--- /dev/null
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/peer/PeerServer.java
@@ -0,0 +1,79 @@
+package io.fireflywalk.daemon.peer;
+
+import io.fireflywalk.core.error.ErrorKind;
+import io.fireflywalk.core.error.FireflywalkException;
+import io.fireflywalk.platform.codec.Codec;
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.disposables.Disposable;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Function;
+
+/** HTTP server for peers. Parts add their calls before it listens. Confined to one event loop. */
+public final class PeerServer {
+    private static final int MAXIMUM_BODY_BYTES = 4 * 1024 * 1024;
+
+    private final HttpServer server;
+    private final Map<String, Call<?>> calls = new HashMap<>();
+
+    public PeerServer(Vertx vertx) {
+        this.server = vertx.createHttpServer().requestHandler(this::handle);
+    }
+
+    /** Adds a call: a POST of one message type at a path. */
+    public <T> void addCall(String path, Class<T> messageType, Function<T, Single<?>> handler) {
+        calls.put(path, new Call<>(messageType, handler));
+    }
+
+    /** Starts to listen and returns the bound port. */
+    public Future<Integer> listen(String host, int port) {
+        return server.listen(port, host).map(HttpServer::actualPort);
+    }
+
+    /** Closes the listening socket and all connections. */
+    public Future<Void> close() {
+        return server.close();
+    }
+
+    private void handle(HttpServerRequest request) {
+        Call<?> call = calls.get(request.path());
+        if (call == null || !request.method().equals(HttpMethod.POST)) {
+            request.response()
+                    .setStatusCode(ErrorKind.UNKNOWN_ROUTE.httpStatus())
+                    .end();
+            return;
+        }
+        request.body().onSuccess(body -> {
+            if (body.length() > MAXIMUM_BODY_BYTES) {
+                request.response()
+                        .setStatusCode(ErrorKind.BODY_TOO_LARGE.httpStatus())
+                        .end();
+                return;
+            }
+            answer(request, call, body.toString());
+        });
+    }
+
+    private static <T> void answer(HttpServerRequest request, Call<T> call, String body) {
+        Disposable unused = Single.defer(
+                        () -> call.handler().apply(Codec.json().read(body, call.messageType(), request.path())))
+                .subscribe(
+                        value -> request.response()
+                                .putHeader("content-type", "application/json")
+                                .end(Codec.json().write(value)),
+                        cause -> request.response()
+                                .setStatusCode(kindOf(cause).httpStatus())
+                                .end(kindOf(cause).code()));
+    }
+
+    private static ErrorKind kindOf(Throwable cause) {
+        return cause instanceof FireflywalkException known ? known.kind() : ErrorKind.INTERNAL;
+    }
+
+    private record Call<T>(Class<T> messageType, Function<T, Single<?>> handler) {}
+}
--- /dev/null
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between daemons, as HTTP with JSON. */
+package io.fireflywalk.daemon.peer;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/settings/DaemonSettings.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/settings/DaemonSettings.java
@@ -31,7 +31,7 @@
     }
 
     /** Identity of the instance. */
-    public record Instance(String name, String availabilityZone, String host) {}
+    public record Instance(String name, String region, String availabilityZone, String host) {}
 
     /** Ports for callers, operators and peers. */
     public record Listen(int callerPort, int operatorPort, int peerPort) {}
