Add the operators' commands and configuration as code

Cause: operators had four commands without names of their own, one shared key list, and no library to write their configuration with.

Change: validate, diff, apply, get, key create and withdraw, status, drain and usage with tables, JSON output, exit statuses and examples; FleetConfiguration prints the same YAML for the same input; operators' keys have names, which the log of accepted changes states; TLS files of the operators' port are reloaded when they change; codec errors name the field.

Ruled out: trusting the author that the client sends; the daemon replaces it by the name of the key.

Conclusion: TLS reload has no test yet; status shows the instance only.

--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/Daemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/Daemon.java
@@ -13,16 +13,19 @@
 import io.fireflywalk.daemon.peer.PeerServer;
 import io.fireflywalk.daemon.settings.DaemonSettings;
 import io.fireflywalk.daemon.usage.UsageRecorder;
+import io.fireflywalk.operator.message.StatusTable;
 import io.fireflywalk.platform.configuration.ConfigurationRepository;
 import io.fireflywalk.platform.table.TableService;
 import io.fireflywalk.platform.time.TimerService;
 import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Single;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.PoolOptions;
 import java.time.Duration;
+import java.util.List;
 import java.util.UUID;
 import java.util.random.RandomGenerator;
 import org.jboss.logging.Logger;
@@ -40,9 +43,12 @@
     private final GatewayServer gateway;
     private final OperatorServer operators;
     private final PeerServer peers;
+    private final Runnable drainRequest;
     private boolean draining;
 
-    public Daemon(Vertx vertx, DaemonSettings settings, TableService tables, TimerService timers) {
+    public Daemon(
+            Vertx vertx, DaemonSettings settings, TableService tables, TimerService timers, Runnable drainRequest) {
+        this.drainRequest = drainRequest;
         this.settings = settings;
         this.timers = timers;
         String incarnation = settings.instance().name() + "-" + UUID.randomUUID();
@@ -69,12 +75,15 @@
                 new PlainRequestHandler(client, pool, usage));
         this.operators = new OperatorServer(
                 vertx,
+                timers,
+                settings,
                 watcher::snapshot,
                 this::isReady,
+                this::startDrain,
                 new ConfigurationChanger(repository, watcher, timers),
                 tables,
-                metrics,
-                settings.operatorKeys());
+                metrics);
+        operators.addStatus(() -> Single.fromCallable(this::instanceStatus));
         this.peers = new PeerServer(vertx);
         metrics.register("requests_in_flight", (Gauge<Integer>) gateway::requestsInFlight);
         metrics.register(
@@ -102,7 +111,28 @@
         return !draining && watcher.snapshot().version() > 0;
     }
 
-    /** Stops without cutting a request: readiness off, balancer delay, drain, flush. */
+    /** Starts a graceful shutdown and returns the number of requests in flight. */
+    private int startDrain() {
+        if (!draining) {
+            drainRequest.run();
+        }
+        return gateway.requestsInFlight();
+    }
+
+    private StatusTable instanceStatus() {
+        return new StatusTable(
+                "instance",
+                List.of("NAME", "AVAILABILITY ZONE", "VERSION", "READY", "DRAINING", "REQUESTS"),
+                List.of(List.of(
+                        settings.instance().name(),
+                        settings.instance().availabilityZone(),
+                        Long.toString(watcher.snapshot().version()),
+                        Boolean.toString(isReady()),
+                        Boolean.toString(draining),
+                        Integer.toString(gateway.requestsInFlight()))));
+    }
+
+    /** Stops without interrupting a request: readiness off, balancer delay, drain, flush. */
     public Completable shutDown() {
         draining = true;
         LOG.infof("event=draining instance=%s requests=%d", settings.instance().name(), gateway.requestsInFlight());
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/DaemonMain.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/DaemonMain.java
@@ -70,7 +70,7 @@
                     settings.tableService().host(),
                     settings.tableService().port(),
                     Duration.ofMillis(settings.tableService().deadlineMilliseconds()));
-            Daemon daemon = new Daemon(vertx, settings, tables, timers);
+            Daemon daemon = new Daemon(vertx, settings, tables, timers, ShutdownHook::exitInBackground);
             daemon.start()
                     .onSuccess(ports -> System.out.println("listening on ports caller=" + ports.callerPort()
                             + " operator=" + ports.operatorPort() + " peer=" + ports.peerPort()))
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/Demo.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/Demo.java
@@ -53,7 +53,12 @@
         Future.all(enginePort, plainPort)
                 .compose(ignored -> {
                     configure(tables, enginePort.result(), plainPort.result());
-                    Daemon daemon = new Daemon(vertx, settings, tables, new VertxTimerService(vertx, context));
+                    Daemon daemon = new Daemon(
+                            vertx,
+                            settings,
+                            tables,
+                            new VertxTimerService(vertx, context),
+                            ShutdownHook::exitInBackground);
                     ShutdownHook.install(context, daemon);
                     return daemon.start();
                 })
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ShutdownHook.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ShutdownHook.java
@@ -12,6 +12,11 @@
         Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(context, daemon), "shutdown"));
     }
 
+    /** Ends the process from another thread, because the exit waits for hooks that need the event loop. */
+    static void exitInBackground() {
+        new Thread(() -> System.exit(0), "drain-request").start();
+    }
+
     private static void drain(Context context, Daemon daemon) {
         CountDownLatch stopped = new CountDownLatch(1);
         context.runOnContext(ignored -> {
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/operators/OperatorServer.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/operators/OperatorServer.java
@@ -4,30 +4,34 @@
 import io.fireflywalk.core.configuration.ConfigurationSnapshot;
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
-import io.fireflywalk.core.security.SecretDigest;
 import io.fireflywalk.core.usage.UsageRow;
 import io.fireflywalk.daemon.gateway.ErrorResponder;
+import io.fireflywalk.daemon.settings.DaemonSettings;
 import io.fireflywalk.daemon.usage.UsageRecorder;
 import io.fireflywalk.operator.message.OperatorMessages;
+import io.fireflywalk.operator.message.StatusTable;
 import io.fireflywalk.platform.codec.Codec;
 import io.fireflywalk.platform.configuration.ConfigurationFile;
 import io.fireflywalk.platform.table.TableService;
+import io.fireflywalk.platform.time.TimerService;
+import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.disposables.Disposable;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
-import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import org.jboss.logging.Logger;
 
 /** HTTP server for operators and their monitoring. Confined to one event loop. */
 public final class OperatorServer {
+    private static final Logger LOG = Logger.getLogger(OperatorServer.class);
     private static final int USAGE_LIMIT = 1000;
-    private static final String BEARER = "Bearer ";
 
     private final HttpServer server;
     private final Supplier<ConfigurationSnapshot> snapshots;
@@ -35,32 +39,45 @@
     private final ConfigurationChanger changer;
     private final TableService tables;
     private final MetricRegistry metrics;
-    private final List<String> operatorKeyDigests;
+    private final OperatorDirectory directory;
+    private final TlsReloader tls;
+    private final Supplier<Integer> drainStarter;
+    private final List<StatusSource> statusSources = new ArrayList<>();
 
     public OperatorServer(
             Vertx vertx,
+            TimerService timers,
+            DaemonSettings settings,
             Supplier<ConfigurationSnapshot> snapshots,
             BooleanSupplier ready,
+            Supplier<Integer> drainStarter,
             ConfigurationChanger changer,
             TableService tables,
-            MetricRegistry metrics,
-            List<String> operatorKeyDigests) {
+            MetricRegistry metrics) {
         this.snapshots = snapshots;
         this.ready = ready;
+        this.drainStarter = drainStarter;
         this.changer = changer;
         this.tables = tables;
         this.metrics = metrics;
-        this.operatorKeyDigests = List.copyOf(operatorKeyDigests);
-        this.server = vertx.createHttpServer().requestHandler(this::handle);
+        this.directory = new OperatorDirectory(settings.operatorKeys());
+        this.tls = new TlsReloader(vertx, timers, settings.operatorTls());
+        this.server = vertx.createHttpServer(tls.serverOptions()).requestHandler(this::handle);
+    }
+
+    /** Adds a table to the status report. */
+    public void addStatus(StatusSource source) {
+        statusSources.add(source);
     }
 
     /** Starts to listen and returns the bound port. */
     public Future<Integer> listen(String host, int port) {
-        return server.listen(port, host).map(HttpServer::actualPort);
+        return server.listen(port, host).onSuccess(tls::start).map(HttpServer::actualPort);
     }
 
     /** Closes the listening socket. */
     public Future<Void> close() {
+        tls.stop();
         return server.close();
     }
 
@@ -74,12 +91,8 @@
     }
 
     private void handleAuthorized(HttpServerRequest request) {
-        String key = request.getHeader("authorization");
-        boolean authorized = key != null
-                && key.startsWith(BEARER)
-                && operatorKeyDigests.stream()
-                        .anyMatch(digest -> SecretDigest.matches(key.substring(BEARER.length()), digest));
-        if (!authorized) {
+        Optional<String> operator = directory.operatorOf(Optional.ofNullable(request.getHeader("authorization")));
+        if (operator.isEmpty()) {
             replyError(
                     request,
                     new FireflywalkException(ErrorKind.OPERATOR_UNAUTHORIZED, "operator key required", "operators"));
@@ -88,7 +101,9 @@
         String call = request.method() + " " + request.path();
         switch (call) {
             case "GET /operator/v1/configuration" -> replySingle(request, Single.fromCallable(this::configuration));
-            case "POST /operator/v1/changes" -> change(request);
+            case "POST /operator/v1/changes" -> change(request, operator.get());
+            case "GET /operator/v1/status" -> replySingle(request, status());
+            case "POST /operator/v1/drain" -> drain(request, operator.get());
             case "GET /operator/v1/usage" -> replySingle(request, usage());
             default ->
                 replyError(request, new FireflywalkException(ErrorKind.UNKNOWN_ROUTE, "unknown path", "operators"));
@@ -100,15 +115,30 @@
         return new OperatorMessages.ConfigurationAnswer(snapshot.version(), ConfigurationFile.of(snapshot));
     }
 
-    private void change(HttpServerRequest request) {
-        if (!request.method().equals(HttpMethod.POST)) {
-            return;
-        }
+    private Single<OperatorMessages.StatusAnswer> status() {
+        return Flowable.fromIterable(statusSources)
+                .concatMapSingle(source -> source.status().onErrorReturn(OperatorServer::unavailable))
+                .toList()
+                .map(OperatorMessages.StatusAnswer::new);
+    }
+
+    private static StatusTable unavailable(Throwable cause) {
+        return new StatusTable("unavailable", List.of("CAUSE"), List.of(List.of(String.valueOf(cause.getMessage()))));
+    }
+
+    private void drain(HttpServerRequest request, String operator) {
+        LOG.infof("event=drain_requested operator=\"%s\"", operator);
+        replySingle(request, Single.fromCallable(() -> new OperatorMessages.DrainAnswer(drainStarter.get())));
+    }
+
+    private void change(HttpServerRequest request, String operator) {
         request.body().onSuccess(body -> {
             try {
                 OperatorMessages.ChangeRequest message =
                         Codec.json().read(body.toString(), OperatorMessages.ChangeRequest.class, "request body");
-                replySingle(request, changer.change(message).map(OperatorMessages.ChangeAnswer::new));
+                OperatorMessages.ChangeRequest signed = new OperatorMessages.ChangeRequest(
+                        message.baseVersion(), operator, message.reason(), message.changes());
+                replySingle(request, changer.change(signed).map(OperatorMessages.ChangeAnswer::new));
             } catch (FireflywalkException exception) {
                 replyError(request, exception);
             }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/settings/DaemonSettings.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/settings/DaemonSettings.java
@@ -13,7 +13,8 @@
  * @param targets connections to targets
  * @param shutdown steps of a graceful shutdown
  * @param usage usage windows
- * @param operatorKeys hexadecimal SHA-256 digests of the operators' keys
+ * @param operatorTls certificate of the operators' port
+ * @param operatorKeys keys of the operators
  */
 public record DaemonSettings(
         Instance instance,
@@ -24,7 +25,8 @@
         TargetSettings targets,
         Shutdown shutdown,
         UsageSettings usage,
-        List<String> operatorKeys) {
+        OperatorTls operatorTls,
+        List<OperatorKey> operatorKeys) {
 
     public DaemonSettings {
         operatorKeys = List.copyOf(operatorKeys);
@@ -59,4 +61,10 @@
 
     /** Length of a usage window and period of flushes. */
     public record UsageSettings(long windowMilliseconds, long flushMilliseconds) {}
+
+    /** PEM files of the operators' port, reloaded when they change; empty names turn TLS off. */
+    public record OperatorTls(String certificateFile, String keyFile) {}
+
+    /** Name of an operator and the hexadecimal SHA-256 digest of the operator's key. */
+    public record OperatorKey(String name, String digest) {}
 }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/settings/SettingsLoader.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/settings/SettingsLoader.java
@@ -13,10 +13,12 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.regex.Pattern;
 
 /** Reads settings files over the defaults and checks them. Stateless. */
 public final class SettingsLoader {
     private static final String DEFAULTS = "/default-settings.yaml";
+    private static final Pattern DIGEST = Pattern.compile("[0-9a-f]{64}");
     private static final int MAXIMUM_PORT = 65_535;
 
     private SettingsLoader() {}
@@ -90,6 +92,16 @@
         requirePositive(settings.targets().idlePooledMilliseconds(), "targets.idlePooledMilliseconds", problems);
         requirePositive(settings.usage().windowMilliseconds(), "usage.windowMilliseconds", problems);
         requirePositive(settings.usage().flushMilliseconds(), "usage.flushMilliseconds", problems);
+        for (int index = 0; index < settings.operatorKeys().size(); index++) {
+            String digest = settings.operatorKeys().get(index).digest();
+            if (!DIGEST.matcher(digest).matches()) {
+                problems.add("operatorKeys[" + index + "].digest must be 64 lower-case hexadecimal digits");
+            }
+        }
+        if (settings.operatorTls().certificateFile().isEmpty()
+                != settings.operatorTls().keyFile().isEmpty()) {
+            problems.add("operatorTls needs both certificateFile and keyFile, or neither");
+        }
         if (!problems.isEmpty()) {
             throw new FireflywalkException(ErrorKind.CONFIGURATION_INVALID, String.join("; ", problems), location);
         }
--- /dev/null
+++ b/fireflywalk-operator/src/main/java/io/fireflywalk/operator/cli/CommandOptions.java
@@ -0,0 +1,123 @@
+package io.fireflywalk.operator.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.net.URI;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** Options of the commands, filled by the command-line parser. */
+final class CommandOptions {
+    private CommandOptions() {}
+
+    /** Options that all commands share. */
+    static class Common {
+        @Parameter(names = "--help", help = true, description = "Show the options of the command")
+        boolean help;
+
+        @Parameter(names = "--output", description = "Form of the output: table or json")
+        OutputForm output = OutputForm.TABLE;
+    }
+
+    /** Options of commands that call an instance. */
+    static class Server extends Common {
+        @Parameter(names = "--server", description = "Operators' address of an instance")
+        URI server = URI.create("http://127.0.0.1:8081");
+
+        @Parameter(names = "--operator-key", description = "Operator key; default is FIREFLYWALK_OPERATOR_KEY")
+        private String operatorKey;
+
+        @Parameter(names = "--ca-file", description = "PEM file with the certificate authority of the instances")
+        private Path certificateAuthorityFile;
+
+        String operatorKey() {
+            return Optional.ofNullable(operatorKey)
+                    .orElseGet(() -> System.getenv().getOrDefault("FIREFLYWALK_OPERATOR_KEY", ""));
+        }
+
+        Optional<Path> certificateAuthorityFile() {
+            return Optional.ofNullable(certificateAuthorityFile);
+        }
+    }
+
+    /** Options of commands that change the configuration. */
+    static class Change extends Server {
+        @Parameter(names = "--reason", description = "Why the change is made", required = true)
+        String reason;
+
+        @Parameter(names = "--base-version", description = "Version from which the change was made; default is current")
+        private Long baseVersion;
+
+        Optional<Long> baseVersion() {
+            return Optional.ofNullable(baseVersion);
+        }
+    }
+
+    /** Options of the validate command. */
+    @Parameters(commandDescription = "Check a configuration file without an instance")
+    static final class Validate extends Common {
+        @Parameter(names = "--file", description = "YAML configuration file", required = true)
+        Path file;
+    }
+
+    /** Options of the diff command. */
+    @Parameters(commandDescription = "Show what applying a configuration file would change")
+    static final class Diff extends Server {
+        @Parameter(names = "--file", description = "YAML configuration file", required = true)
+        Path file;
+    }
+
+    /** Options of the apply command. */
+    @Parameters(commandDescription = "Apply a configuration file")
+    static final class Apply extends Change {
+        @Parameter(names = "--file", description = "YAML configuration file", required = true)
+        Path file;
+    }
+
+    /** Options of the get command. */
+    @Parameters(commandDescription = "Print the configuration in force as YAML")
+    static final class Get extends Server {}
+
+    /** Options of the status command. */
+    @Parameters(commandDescription = "Show the state of an instance: requests, targets, members, leases, orders")
+    static final class Status extends Server {}
+
+    /** Options of the usage command. */
+    @Parameters(commandDescription = "Show recorded usage")
+    static final class Usage extends Server {}
+
+    /** Options of the key create command. */
+    @Parameters(commandDescription = "Create a key and print it once")
+    static final class KeyCreate extends Change {
+        @Parameter(names = "--account", description = "Client account of the key", required = true)
+        String account;
+
+        @Parameter(names = "--name", description = "Name of the key", required = true)
+        String name;
+    }
+
+    /** Options of the key withdraw command. */
+    @Parameters(commandDescription = "Withdraw a key")
+    static final class KeyWithdraw extends Change {
+        @Parameter(names = "--name", description = "Name of the key", required = true)
+        String name;
+    }
+
+    /** Options of the drain command. */
+    @Parameters(commandDescription = "Drain targets by name, or without names the instance itself")
+    static final class Drain extends Server {
+        @Parameter(description = "target names")
+        List<String> targets = new ArrayList<>();
+
+        @Parameter(names = "--reason", description = "Why the targets are drained")
+        String reason = "drain";
+    }
+
+    /** Forms of output. */
+    enum OutputForm {
+        TABLE,
+        JSON
+    }
+}
--- a/fireflywalk-operator/src/main/java/io/fireflywalk/operator/cli/OperatorClient.java
+++ b/fireflywalk-operator/src/main/java/io/fireflywalk/operator/cli/OperatorClient.java
@@ -10,9 +10,12 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
+import io.vertx.core.net.PemTrustOptions;
 import java.net.URI;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletionException;
@@ -20,16 +23,26 @@
 /** Blocking client of the operators' interface of one instance. Not thread-safe. */
 final class OperatorClient implements AutoCloseable {
     private static final int STATUS_OK = 200;
-    private static final long TIMEOUT_MILLISECONDS = 15_000;
+    private static final int CONNECT_TIMEOUT_MILLISECONDS = 5_000;
+    /** Longer than the acknowledgement of a change, which may wait for a freshness limit. */
+    private static final long TIMEOUT_MILLISECONDS = 30_000;
 
     private final Vertx vertx = Vertx.vertx();
-    private final HttpClient client = vertx.createHttpClient();
+    private final HttpClient client;
     private final URI server;
     private final String key;
 
-    OperatorClient(URI server, String key) {
+    OperatorClient(URI server, String key, Optional<Path> certificateAuthorityFile) {
         this.server = server;
         this.key = key;
+        HttpClientOptions options = new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLISECONDS);
+        certificateAuthorityFile.ifPresent(
+                file -> options.setTrustOptions(new PemTrustOptions().addCertPath(file.toString())));
+        this.client = vertx.createHttpClient(options);
+    }
+
+    static OperatorClient of(CommandOptions.Server options) {
+        return new OperatorClient(options.server, options.operatorKey(), options.certificateAuthorityFile());
     }
 
     @Override
@@ -45,10 +58,8 @@
                 OperatorMessages.ConfigurationAnswer.class);
     }
 
-    long change(long baseVersion, String author, String reason, List<DocumentChange> changes)
-            throws FireflywalkException {
-        var request =
-                new OperatorMessages.ChangeRequest(baseVersion, author, reason, DocumentCodec.toMessages(changes));
+    long change(long baseVersion, String reason, List<DocumentChange> changes) throws FireflywalkException {
+        var request = new OperatorMessages.ChangeRequest(baseVersion, "", reason, DocumentCodec.toMessages(changes));
         return call(
                         HttpMethod.POST,
                         "/operator/v1/changes",
@@ -61,8 +72,20 @@
         return List.of(call(HttpMethod.GET, "/operator/v1/usage", Optional.empty(), UsageRow[].class));
     }
 
+    OperatorMessages.StatusAnswer status() throws FireflywalkException {
+        return call(HttpMethod.GET, "/operator/v1/status", Optional.empty(), OperatorMessages.StatusAnswer.class);
+    }
+
+    OperatorMessages.DrainAnswer drainInstance() throws FireflywalkException {
+        return call(HttpMethod.POST, "/operator/v1/drain", Optional.of("{}"), OperatorMessages.DrainAnswer.class);
+    }
+
     private <T> T call(HttpMethod method, String path, Optional<String> body, Class<T> type)
             throws FireflywalkException {
+        if (server.getHost() == null || server.getPort() < 0) {
+            throw new FireflywalkException(
+                    ErrorKind.INVALID_REQUEST, "--server must have the form http://host:port", server.toString());
+        }
         RequestOptions options = new RequestOptions()
                 .setMethod(method)
                 .setHost(server.getHost())
@@ -82,7 +105,7 @@
                     .join();
         } catch (CompletionException exception) {
             throw new FireflywalkException(
-                    ErrorKind.STORE_UNAVAILABLE, "no answer from " + server, path, exception.getCause());
+                    ErrorKind.TARGET_FAILED, "no answer from " + server, path, exception.getCause());
         }
         if (answer.status() != STATUS_OK) {
             throw refusal(answer, path);
--- a/fireflywalk-operator/src/main/java/io/fireflywalk/operator/cli/OperatorMain.java
+++ b/fireflywalk-operator/src/main/java/io/fireflywalk/operator/cli/OperatorMain.java
@@ -1,146 +1,115 @@
 package io.fireflywalk.operator.cli;
 
 import com.beust.jcommander.JCommander;
-import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
-import io.fireflywalk.core.configuration.ApiKey;
-import io.fireflywalk.core.configuration.ConfigurationSnapshot;
-import io.fireflywalk.core.configuration.DocumentChange;
-import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
-import io.fireflywalk.core.security.SecretDigest;
-import io.fireflywalk.operator.message.OperatorMessages;
-import io.fireflywalk.platform.codec.Codec;
-import io.fireflywalk.platform.configuration.ConfigurationFile;
-import java.io.IOException;
-import java.net.URI;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.security.SecureRandom;
-import java.util.HexFormat;
-import java.util.List;
+import java.io.PrintStream;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.Map;
 
 /** Command line of the operators' client. */
 public final class OperatorMain {
-    private static final int EXIT_FAILURE = 1;
-    private static final int EXIT_USAGE = 2;
-    private static final int SECRET_BYTES = 24;
+    private static final String PROGRAM = "fireflywalk";
+    private static final String EXAMPLES = """
+            Examples:
+              fireflywalk validate --file fleet.yaml
+              fireflywalk diff --server http://10.0.0.5:8081 --file fleet.yaml
+              fireflywalk apply --file fleet.yaml --reason 'add the second runner'
+              fireflywalk key create --account county --name morning --reason 'new clerk'
+              fireflywalk key withdraw --name morning --reason 'key was published'
+              fireflywalk status --output json
+              fireflywalk drain draft-3 --reason 'replace the host'
+              fireflywalk drain --server http://10.0.0.5:8081
+              fireflywalk usage
+
+            Exit statuses: 0 success, 1 failure, 2 wrong usage, 3 invalid configuration, 4 conflict with another
+            operator's change, 5 operator key refused, 6 diff found differences.
+            """;
 
     private OperatorMain() {}
 
-    /** Options that all commands share. */
-    static class ServerOptions {
-        @Parameter(names = "--server", description = "Operators' address of an instance")
-        URI server = URI.create("http://127.0.0.1:8081");
-
-        @Parameter(names = "--operator-key", description = "Operator key; default is FIREFLYWALK_OPERATOR_KEY")
-        String operatorKey = System.getenv().getOrDefault("FIREFLYWALK_OPERATOR_KEY", "");
-    }
-
-    /** Options of commands that change the configuration. */
-    static class ChangeOptions extends ServerOptions {
-        @Parameter(names = "--author", description = "Operator who makes the change")
-        String author = System.getProperty("user.name");
-
-        @Parameter(names = "--reason", description = "Why the change is made", required = true)
-        String reason;
-    }
-
-    /** Options of the apply command. */
-    static final class ApplyOptions extends ChangeOptions {
-        @Parameter(names = "--file", description = "YAML configuration file", required = true)
-        Path file;
-    }
-
-    /** Options of the key-create command. */
-    static final class KeyCreateOptions extends ChangeOptions {
-        @Parameter(names = "--account", description = "Client account of the key", required = true)
-        String account;
-
-        @Parameter(names = "--name", description = "Name of the key", required = true)
-        String name;
+    /** Runs the command that the arguments name and exits with its status. */
+    public static void main(String[] arguments) {
+        System.exit(run(arguments, System.out, System.err));
     }
 
-    /** Runs the command that the arguments name. */
-    public static void main(String[] arguments) {
-        ServerOptions get = new ServerOptions();
-        ServerOptions usage = new ServerOptions();
-        ApplyOptions apply = new ApplyOptions();
-        KeyCreateOptions keyCreate = new KeyCreateOptions();
-        JCommander commander = JCommander.newBuilder()
-                .programName("fireflywalk")
-                .addCommand("get", get)
-                .addCommand("usage", usage)
-                .addCommand("apply", apply)
-                .addCommand("key-create", keyCreate)
-                .build();
+    /** Runs the command that the arguments name and returns its exit status. */
+    static int run(String[] arguments, PrintStream output, PrintStream errors) {
+        Commands commands = new Commands(output);
+        Map<String, Command<?>> table = commandTable(commands);
+        JCommander.Builder builder = JCommander.newBuilder().programName(PROGRAM);
+        table.forEach((name, command) -> builder.addCommand(name, command.options()));
+        JCommander parser = builder.build();
         try {
-            commander.parse(arguments);
-            if (commander.getParsedCommand() == null) {
-                commander.usage();
-                System.exit(EXIT_USAGE);
-                return;
-            }
-            switch (commander.getParsedCommand()) {
-                case "get" -> get(get);
-                case "usage" -> usage(usage);
-                case "apply" -> apply(apply);
-                default -> createKey(keyCreate);
+            String[] joined = joinSubcommand(arguments);
+            if (joined.length == 0 || joined[0].equals("--help") || joined[0].equals("help")) {
+                output.println(usageText(parser));
+                return joined.length == 0 ? ExitStatus.USAGE.code() : ExitStatus.SUCCESS.code();
             }
+            parser.parse(joined);
+            return table.get(parser.getParsedCommand()).run(parser, output).code();
         } catch (ParameterException exception) {
-            System.err.println("fireflywalk: " + exception.getMessage());
-            System.exit(EXIT_USAGE);
+            errors.println(PROGRAM + ": " + oneLine(exception.getMessage()));
+            return ExitStatus.USAGE.code();
         } catch (FireflywalkException exception) {
-            System.err.println("fireflywalk: " + exception.getMessage());
-            System.exit(EXIT_FAILURE);
+            errors.println(PROGRAM + ": " + oneLine(exception.getMessage()));
+            return ExitStatus.of(exception.kind()).code();
         }
     }
 
-    private static void get(ServerOptions options) throws FireflywalkException {
-        try (OperatorClient client = new OperatorClient(options.server, options.operatorKey)) {
-            System.out.print(Codec.yaml().write(client.configuration()));
-        }
+    private static Map<String, Command<?>> commandTable(Commands commands) {
+        Map<String, Command<?>> table = new LinkedHashMap<>();
+        table.put("validate", new Command<>(new CommandOptions.Validate(), commands::validate));
+        table.put("diff", new Command<>(new CommandOptions.Diff(), commands::diff));
+        table.put("apply", new Command<>(new CommandOptions.Apply(), commands::apply));
+        table.put("get", new Command<>(new CommandOptions.Get(), commands::get));
+        table.put("key create", new Command<>(new CommandOptions.KeyCreate(), commands::createKey));
+        table.put("key withdraw", new Command<>(new CommandOptions.KeyWithdraw(), commands::withdrawKey));
+        table.put("status", new Command<>(new CommandOptions.Status(), commands::status));
+        table.put("drain", new Command<>(new CommandOptions.Drain(), commands::drain));
+        table.put("usage", new Command<>(new CommandOptions.Usage(), commands::usage));
+        return table;
     }
 
-    private static void usage(ServerOptions options) throws FireflywalkException {
-        try (OperatorClient client = new OperatorClient(options.server, options.operatorKey)) {
-            System.out.println(Codec.json().write(client.usage()));
+    /** Joins {@code key create} into one command name, because the parser has one level of commands. */
+    private static String[] joinSubcommand(String[] arguments) {
+        if (arguments.length < 2 || !arguments[0].equals("key")) {
+            return arguments;
         }
+        String[] joined = Arrays.copyOfRange(arguments, 1, arguments.length);
+        joined[0] = "key " + arguments[1];
+        return joined;
     }
 
-    private static void apply(ApplyOptions options) throws FireflywalkException {
-        ConfigurationFile file = Codec.yaml().read(readText(options.file), ConfigurationFile.class, "" + options.file);
-        try (OperatorClient client = new OperatorClient(options.server, options.operatorKey)) {
-            OperatorMessages.ConfigurationAnswer current = client.configuration();
-            List<DocumentChange> changes = file.changesFrom(snapshotOf(current));
-            long version = client.change(current.version(), options.author, options.reason, changes);
-            System.out.println("version " + version + " accepted, " + changes.size() + " documents changed");
-        }
+    private static String usageText(JCommander parser) {
+        StringBuilder text = new StringBuilder();
+        parser.getUsageFormatter().usage(text);
+        return text.append('\n').append(EXAMPLES).toString();
     }
 
-    private static void createKey(KeyCreateOptions options) throws FireflywalkException {
-        byte[] random = new byte[SECRET_BYTES];
-        new SecureRandom().nextBytes(random);
-        String secret = HexFormat.of().formatHex(random);
-        ApiKey key = new ApiKey(options.name, options.account, SecretDigest.of(secret), false);
-        try (OperatorClient client = new OperatorClient(options.server, options.operatorKey)) {
-            long base = client.configuration().version();
-            client.change(base, options.author, options.reason, List.of(DocumentChange.put(key)));
-            System.out.println(options.name + "." + secret);
-        }
+    /** Replaces control characters, so that text from a server cannot drive the terminal. */
+    private static String oneLine(String message) {
+        return message.replaceAll("\\p{Cntrl}+", " ");
     }
 
-    private static ConfigurationSnapshot snapshotOf(OperatorMessages.ConfigurationAnswer answer) {
-        List<DocumentChange> changes = answer.configuration().changesFrom(ConfigurationSnapshot.empty());
-        return ConfigurationSnapshot.empty().apply(answer.version(), changes);
-    }
+    /** A command with its options. */
+    private record Command<T extends CommandOptions.Common>(T options, Action<T> action) {
 
-    private static String readText(Path file) throws FireflywalkException {
-        try {
-            return Files.readString(file);
-        } catch (IOException exception) {
-            throw new FireflywalkException(
-                    ErrorKind.CONFIGURATION_INVALID, "cannot read the file", file.toString(), exception);
+        ExitStatus run(JCommander parser, PrintStream output) throws FireflywalkException {
+            if (options.help) {
+                StringBuilder text = new StringBuilder();
+                parser.getUsageFormatter().usage(parser.getParsedCommand(), text);
+                output.println(text.append('\n').append(EXAMPLES));
+                return ExitStatus.SUCCESS;
+            }
+            return action.run(options);
         }
     }
+
+    /** What a command does. */
+    @FunctionalInterface
+    private interface Action<T> {
+        ExitStatus run(T options) throws FireflywalkException;
+    }
 }
--- a/fireflywalk-platform/src/main/java/io/fireflywalk/platform/codec/Codec.java
+++ b/fireflywalk-platform/src/main/java/io/fireflywalk/platform/codec/Codec.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonLocation;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonMappingException;
 import com.fasterxml.jackson.databind.MapperFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.SerializationFeature;
@@ -69,11 +70,29 @@
     }
 
     private static String describe(JsonProcessingException exception, String location) {
+        StringBuilder description = new StringBuilder(location);
+        if (exception instanceof JsonMappingException mapping
+                && !mapping.getPath().isEmpty()) {
+            description.append(", field ").append(fieldPath(mapping));
+        }
         JsonLocation position = exception.getLocation();
-        if (position == null) {
-            return location;
+        if (position != null) {
+            description.append(", line ").append(position.getLineNr());
+            description.append(", column ").append(position.getColumnNr());
+        }
+        return description.toString();
+    }
+
+    private static String fieldPath(JsonMappingException exception) {
+        StringBuilder path = new StringBuilder();
+        for (JsonMappingException.Reference reference : exception.getPath()) {
+            if (reference.getFieldName() == null) {
+                path.append('[').append(reference.getIndex()).append(']');
+            } else {
+                path.append(path.isEmpty() ? "" : ".").append(reference.getFieldName());
+            }
         }
-        return location + ", line " + position.getLineNr() + ", column " + position.getColumnNr();
+        return path.toString();
     }
 
     private static <M extends ObjectMapper, B extends MapperBuilder<M, B>> ObjectMapper strict(
