Measure latency, token throughput and heap of the request path

Cause: the goals of the request path (added median 0.5 ms and p99 2 ms at 1,000 requests/s, 100,000 token events per second per core, heap under 256 MB with 2,000 streams) had no command that measures them.

Change: `request-path` starts the stand-ins and a daemon as processes, alternates open-loop passes of short requests direct and through the daemon, then holds 2,000 streams at 40 ms per token. Process gauges on /metrics.

--- /dev/null
+++ b/fireflywalk-benchmark/src/main/java/io/fireflywalk/benchmark/BenchmarkMain.java
@@ -0,0 +1,32 @@
+package io.fireflywalk.benchmark;
+
+import io.fireflywalk.benchmark.requestpath.RequestPathMain;
+import java.util.Arrays;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Command line of the measurements: the first argument names the measurement, the others are its options. */
+public final class BenchmarkMain {
+    private static final int EXIT_USAGE = 2;
+
+    private BenchmarkMain() {}
+
+    /** Runs the measurement that the first argument names. */
+    public static void main(String[] arguments) throws Exception {
+        Map<String, Measurement> measurements = new TreeMap<>();
+        measurements.put("request-path", RequestPathMain::main);
+        if (arguments.length == 0 || !measurements.containsKey(arguments[0])) {
+            System.err.println("usage: fireflywalk-benchmark MEASUREMENT [options]; measurements: "
+                    + String.join(", ", measurements.keySet()));
+            System.exit(EXIT_USAGE);
+            return;
+        }
+        measurements.get(arguments[0]).run(Arrays.copyOfRange(arguments, 1, arguments.length));
+    }
+
+    /** A measurement with its options. */
+    @FunctionalInterface
+    private interface Measurement {
+        void run(String[] options) throws Exception;
+    }
+}
--- /dev/null
+++ b/fireflywalk-benchmark/src/main/java/io/fireflywalk/benchmark/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements of the system: open-loop load, policies, slopes. */
+package io.fireflywalk.benchmark;
--- /dev/null
+++ b/fireflywalk-benchmark/src/main/java/io/fireflywalk/benchmark/record/RunRecord.java
@@ -0,0 +1,56 @@
+package io.fireflywalk.benchmark.record;
+
+import com.fasterxml.jackson.databind.SerializationFeature;
+import io.fireflywalk.platform.codec.Codec;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/**
+ * What a measurement leaves behind.
+ *
+ * @param measurement name of the measurement
+ * @param commit commit that was measured
+ * @param command command line
+ * @param seed seed of random choices
+ * @param processors processors of the machine
+ * @param memoryBytes memory of the machine
+ * @param figures the figures, of a type that the measurement defines
+ */
+public record RunRecord(
+        String measurement,
+        String commit,
+        String command,
+        long seed,
+        int processors,
+        long memoryBytes,
+        Object figures) {
+
+    /** Returns a record of this machine and the checked-out commit. */
+    public static RunRecord of(String measurement, String command, long seed, Object figures) throws IOException {
+        var machine = (com.sun.management.OperatingSystemMXBean)
+                java.lang.management.ManagementFactory.getOperatingSystemMXBean();
+        return new RunRecord(
+                measurement,
+                headCommit(),
+                command,
+                seed,
+                Runtime.getRuntime().availableProcessors(),
+                machine.getTotalMemorySize(),
+                figures);
+    }
+
+    /** Writes the record as indented JSON. */
+    public void write(Path file) throws IOException {
+        Files.createDirectories(file.toAbsolutePath().getParent());
+        String text =
+                Codec.json().mapper().writer(SerializationFeature.INDENT_OUTPUT).writeValueAsString(this);
+        Files.writeString(file, text + "\n");
+    }
+
+    private static String headCommit() throws IOException {
+        Process process = new ProcessBuilder("git", "rev-parse", "--short", "HEAD").start();
+        return new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8).strip();
+    }
+}
--- /dev/null
+++ b/fireflywalk-benchmark/src/main/java/io/fireflywalk/benchmark/record/package-info.java
@@ -0,0 +1,2 @@
+/** Records of measurements as JSON files. */
+package io.fireflywalk.benchmark.record;
--- /dev/null
+++ b/fireflywalk-benchmark/src/main/java/io/fireflywalk/benchmark/requestpath/MeasuredSystem.java
@@ -0,0 +1,141 @@
+package io.fireflywalk.benchmark.requestpath;
+
+import io.fireflywalk.core.configuration.ApiKey;
+import io.fireflywalk.core.configuration.ClientAccount;
+import io.fireflywalk.core.configuration.ConfigurationDocument;
+import io.fireflywalk.core.configuration.DocumentChange;
+import io.fireflywalk.core.configuration.OrderChecking;
+import io.fireflywalk.core.configuration.Route;
+import io.fireflywalk.core.configuration.Service;
+import io.fireflywalk.core.configuration.ServiceType;
+import io.fireflywalk.core.configuration.Target;
+import io.fireflywalk.core.configuration.TargetCharge;
+import io.fireflywalk.core.security.SecretDigest;
+import io.fireflywalk.daemon.DaemonMain;
+import io.fireflywalk.platform.configuration.ChangeRecord;
+import io.fireflywalk.platform.configuration.ConfigurationRepository;
+import io.fireflywalk.platform.configuration.DocumentCodec;
+import io.fireflywalk.platform.table.HttpTableService;
+import io.fireflywalk.standin.StandinMain;
+import io.vertx.core.Vertx;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+
+/** A table service, engines, a plain service and one daemon, each in its own process. Not thread-safe. */
+final class MeasuredSystem implements AutoCloseable {
+    static final String HOST = "127.0.0.1";
+    static final String KEY = "load.secret";
+
+    private static final String STANDIN_HEAP = "512m";
+    private static final String DAEMON_HEAP = "256m";
+    private static final int CONCURRENT_REQUESTS = 100_000;
+    private static final long DEADLINE_MILLISECONDS = 600_000;
+
+    private final List<SystemProcess> processes = new ArrayList<>();
+    private final List<Integer> enginePorts = new ArrayList<>();
+    private final int plainPort;
+    private final SystemProcess daemon;
+    private final int callerPort;
+    private final int operatorPort;
+
+    MeasuredSystem(Vertx vertx, int engines, long tokenMilliseconds) throws IOException {
+        Path directory = Files.createTempDirectory("fireflywalk-benchmark");
+        int tablePort = standin(directory, "table-service");
+        plainPort = standin(directory, "plain-service");
+        for (int index = 0; index < engines; index++) {
+            enginePorts.add(
+                    standin(directory, "model-engine", "--token-milliseconds", Long.toString(tokenMilliseconds)));
+        }
+        configure(vertx, tablePort);
+        Path settings = Files.writeString(directory.resolve("daemon.yaml"), """
+                instance: {name: measured}
+                listen: {callerPort: 0, operatorPort: 0, peerPort: 0}
+                tableService: {port: %d}
+                """.formatted(tablePort));
+        daemon = SystemProcess.start(
+                directory.resolve("daemon.log"),
+                DAEMON_HEAP,
+                DaemonMain.class,
+                "run",
+                "--settings",
+                settings.toString());
+        processes.add(daemon);
+        String ports = daemon.awaitLine();
+        callerPort = SystemProcess.numberIn(ports, "caller=(\\d+)");
+        operatorPort = SystemProcess.numberIn(ports, "operator=(\\d+)");
+    }
+
+    int callerPort() {
+        return callerPort;
+    }
+
+    int operatorPort() {
+        return operatorPort;
+    }
+
+    int plainPort() {
+        return plainPort;
+    }
+
+    List<Integer> enginePorts() {
+        return List.copyOf(enginePorts);
+    }
+
+    SystemProcess daemon() {
+        return daemon;
+    }
+
+    @Override
+    public void close() {
+        processes.forEach(SystemProcess::close);
+    }
+
+    private int standin(Path directory, String... arguments) throws IOException {
+        SystemProcess process = SystemProcess.start(
+                directory.resolve(arguments[0] + ".log"), STANDIN_HEAP, StandinMain.class, arguments);
+        processes.add(process);
+        return process.awaitPort();
+    }
+
+    private void configure(Vertx vertx, int tablePort) {
+        List<ConfigurationDocument> documents = new ArrayList<>(List.of(
+                new ClientAccount("load", 1, CONCURRENT_REQUESTS),
+                new ApiKey("load", "load", SecretDigest.of("secret"), false),
+                new Service("draft", ServiceType.MODEL, List.of(), DEADLINE_MILLISECONDS, 1),
+                new Service(
+                        "billing",
+                        ServiceType.PLAIN,
+                        List.of(new Route("/billing", Set.of("GET"), false, true)),
+                        DEADLINE_MILLISECONDS,
+                        1),
+                target("billing-1", "billing", plainPort, "")));
+        for (int port : enginePorts) {
+            documents.add(target("draft-" + port, "draft", port, "1"));
+        }
+        List<DocumentChange> changes =
+                documents.stream().map(DocumentChange::put).toList();
+        ChangeRecord entry = new ChangeRecord(1, "benchmark", "load", 0, DocumentCodec.toMessages(changes));
+        new ConfigurationRepository(new HttpTableService(vertx, HOST, tablePort, Duration.ofSeconds(5)))
+                .commit("benchmark", 0, changes, entry)
+                .ignoreElement()
+                .blockingAwait();
+    }
+
+    private static Target target(String name, String service, int port, String modelVersion) {
+        return new Target(
+                name,
+                service,
+                HOST,
+                port,
+                "zone-a",
+                modelVersion,
+                TargetCharge.REGULAR,
+                OrderChecking.CHECKS_FENCING_TOKEN,
+                false);
+    }
+}
--- /dev/null
+++ b/fireflywalk-benchmark/src/main/java/io/fireflywalk/benchmark/requestpath/SystemProcess.java
@@ -0,0 +1,61 @@
+package io.fireflywalk.benchmark.requestpath;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** A process of the system that a measurement starts and ends. Not thread-safe. */
+final class SystemProcess implements AutoCloseable {
+    private final Process process;
+    private final BufferedReader output;
+
+    private SystemProcess(Process process) {
+        this.process = process;
+        this.output = process.inputReader(StandardCharsets.UTF_8);
+    }
+
+    static SystemProcess start(Path logFile, String heap, Class<?> mainClass, String... arguments) throws IOException {
+        List<String> command = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx" + heap,
+                "-cp",
+                System.getProperty("java.class.path"),
+                mainClass.getName()));
+        command.addAll(List.of(arguments));
+        return new SystemProcess(new ProcessBuilder(command)
+                .redirectError(ProcessBuilder.Redirect.appendTo(logFile.toFile()))
+                .start());
+    }
+
+    String awaitLine() throws IOException {
+        return output.readLine();
+    }
+
+    int awaitPort() throws IOException {
+        return numberIn(awaitLine(), "port (\\d+)");
+    }
+
+    /** Returns the processor time that the process has used. */
+    Duration processorTime() {
+        return process.info().totalCpuDuration().orElse(Duration.ZERO);
+    }
+
+    @Override
+    public void close() {
+        process.destroyForcibly();
+    }
+
+    static int numberIn(String line, String pattern) {
+        Matcher matcher = Pattern.compile(pattern).matcher(line == null ? "" : line);
+        if (!matcher.find()) {
+            throw new IllegalStateException("no " + pattern + " in: " + line);
+        }
+        return Integer.parseInt(matcher.group(1));
+    }
+}
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/Daemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/Daemon.java
@@ -10,6 +10,7 @@
 import io.fireflywalk.daemon.gateway.TargetPool;
 import io.fireflywalk.daemon.operators.ConfigurationChanger;
 import io.fireflywalk.daemon.operators.OperatorServer;
+import io.fireflywalk.daemon.operators.ProcessMetrics;
 import io.fireflywalk.daemon.peer.PeerServer;
 import io.fireflywalk.daemon.settings.DaemonSettings;
 import io.fireflywalk.daemon.usage.UsageRecorder;
@@ -85,6 +86,7 @@
                 metrics);
         operators.addStatus(() -> Single.fromCallable(this::instanceStatus));
         this.peers = new PeerServer(vertx);
+        ProcessMetrics.register(metrics);
         metrics.register("requests_in_flight", (Gauge<Integer>) gateway::requestsInFlight);
         metrics.register(
                 "configuration_version", (Gauge<Long>) () -> watcher.snapshot().version());
