Force the reload of changed TLS files

Cause: TlsReloaderTest showed that a replaced certificate stayed out of force: the new options name the same files, so the HTTP server took them as unchanged and kept the old certificate ("still CN=first" after 30 s).

Ruled out: a wrong modification time, since the reload call was made.

Change: the update is forced.

Measured: TlsReloaderTest fails before and passes after the change.

--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/operators/TlsReloader.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/operators/TlsReloader.java
@@ -63,7 +63,8 @@
         }
         ServerSSLOptions options = new ServerSSLOptions();
         options.setKeyCertOptions(keyCertificate());
-        server.updateSSLOptions(options)
+        // Forced, because the options name the same files as before and would count as unchanged.
+        server.updateSSLOptions(options, true)
                 .onSuccess(updated -> {
                     loadedModificationTime = present;
                     LOG.infof("event=operator_tls_reloaded file=%s", settings.certificateFile());
