Add order rules, platform clients and stand-ins for orders

Cause: engines and the platform take orders, and nothing decided what a sender or its successor may do about a pending one.

Change: intents and rules in the core for engines that check fencing tokens and for those that do not, clients of both interfaces, and stand-ins that record every order and what it did.

Ruled out: a barrier with the generation of the pending order, because it would not stop this process's own delayed copies of that order; the barrier has the next generation. Keeping only the token in the engine, because it is forgotten in a crash; orders name the engine incarnation.

Measured: compiles with lint as errors; no behaviour is shown yet.

--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/error/ErrorKind.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/error/ErrorKind.java
@@ -37,6 +37,7 @@
     STORE_UNAVAILABLE(503, true, RunState.NOT_RUN, LogLevel.WARN, "The table service does not answer."),
     STORE_OUTCOME_UNKNOWN(503, true, RunState.UNKNOWN, LogLevel.WARN, "A transaction's outcome is not known yet."),
     AUTHORITY_LOST(503, true, RunState.NOT_RUN, LogLevel.WARN, "The process no longer holds the lease."),
+    ORDER_PENDING(409, true, RunState.NOT_RUN, LogLevel.INFO, "An earlier order of the receiver is not settled yet."),
     DEADLINE_UNREACHABLE(503, true, RunState.NOT_RUN, LogLevel.INFO, "The fleet cannot meet the deadline now."),
     DEADLINE_EXCEEDED(504, false, RunState.UNKNOWN, LogLevel.INFO, "The deadline passed while a target worked."),
     TARGET_SILENT(504, true, RunState.UNKNOWN, LogLevel.WARN, "The target stopped sending without closing.");
--- /dev/null
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/order/EngineOrderIntent.java
@@ -0,0 +1,78 @@
+package io.fireflywalk.core.order;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Durable intent of the latest order of one engine. There is one row per engine, so at most one order is pending.
+ *
+ * @param engine name of the engine
+ * @param orderId identifier of the order
+ * @param generation number of the order
+ * @param assignment what the engine is to be
+ * @param status whether the order is settled
+ * @param senders processes that may have sent it
+ * @param inRotation false while the engine may not get new requests because it may be changing
+ */
+public record EngineOrderIntent(
+        String engine,
+        String orderId,
+        long generation,
+        EngineAssignment assignment,
+        Status status,
+        List<OrderSender> senders,
+        boolean inRotation) {
+
+    /** Whether the order is settled. */
+    public enum Status {
+        /** The order may still take effect. */
+        PENDING,
+        /** The order has taken effect and no copy of it can take effect later. */
+        EFFECTIVE,
+        /** The order has not taken effect, or the engine has lost its effect, and no copy can take effect later. */
+        WITHOUT_EFFECT,
+        /** The engine does not settle and must be replaced. */
+        REPLACE_ENGINE
+    }
+
+    public EngineOrderIntent {
+        senders = List.copyOf(senders);
+    }
+
+    /** Returns a new pending order with its first sender. */
+    public static EngineOrderIntent pending(
+            String engine, String orderId, long generation, EngineAssignment assignment, OrderSender sender) {
+        return new EngineOrderIntent(engine, orderId, generation, assignment, Status.PENDING, List.of(sender), false);
+    }
+
+    /** Tells whether the process has recorded itself as a sender under the token and has not closed. */
+    public boolean hasOpenSender(String incarnation, long token) {
+        return senders.contains(new OrderSender(incarnation, token, false));
+    }
+
+    /** Returns the intent with one more open sender. */
+    public EngineOrderIntent withSender(String incarnation, long token) {
+        List<OrderSender> all = new ArrayList<>(senders);
+        all.add(new OrderSender(incarnation, token, false));
+        return with(status, all, inRotation);
+    }
+
+    /** Returns the intent after the process recorded that none of its sends is under way or will follow. */
+    public EngineOrderIntent closedBy(String incarnation) {
+        List<OrderSender> all = senders.stream()
+                .map(sender -> sender.incarnation().equals(incarnation)
+                        ? new OrderSender(incarnation, sender.token(), true)
+                        : sender)
+                .toList();
+        return with(status, all, inRotation);
+    }
+
+    /** Returns the settled intent. The engine is in rotation again unless it is to be replaced. */
+    public EngineOrderIntent settled(Status settledStatus) {
+        return with(settledStatus, senders, settledStatus != Status.REPLACE_ENGINE);
+    }
+
+    private EngineOrderIntent with(Status newStatus, List<OrderSender> newSenders, boolean newInRotation) {
+        return new EngineOrderIntent(engine, orderId, generation, assignment, newStatus, newSenders, newInRotation);
+    }
+}
--- /dev/null
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/order/TargetOrderOutcome.java
@@ -0,0 +1,17 @@
+package io.fireflywalk.core.order;
+
+import java.util.List;
+
+/**
+ * What the platform did about an order.
+ *
+ * @param orderId identifier of the order
+ * @param executed true if the order was executed; false if the platform refused it for good
+ * @param targets names of the targets that were ordered or released
+ */
+public record TargetOrderOutcome(String orderId, boolean executed, List<String> targets) {
+
+    public TargetOrderOutcome {
+        targets = List.copyOf(targets);
+    }
+}
--- /dev/null
+++ b/fireflywalk-platform/src/main/java/io/fireflywalk/platform/order/HttpEngineOrderClient.java
@@ -0,0 +1,43 @@
+package io.fireflywalk.platform.order;
+
+import io.fireflywalk.core.configuration.Target;
+import io.fireflywalk.core.order.EngineOrder;
+import io.fireflywalk.core.order.EngineOrderAnswer;
+import io.fireflywalk.core.order.EngineState;
+import io.fireflywalk.platform.codec.Codec;
+import io.reactivex.rxjava3.core.Single;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpMethod;
+import java.time.Duration;
+
+/** Orders to engines over HTTP with JSON. Thread-safe. */
+public final class HttpEngineOrderClient implements EngineOrderClient {
+    private static final String PATH = "/engine/v1/orders";
+    private static final int STATUS_OK = 200;
+    private static final int STATUS_CONFLICT = 409;
+
+    private final JsonHttpClient client;
+
+    public HttpEngineOrderClient(Vertx vertx, Duration deadline) {
+        this.client = new JsonHttpClient(vertx, deadline);
+    }
+
+    @Override
+    public Single<EngineOrderAnswer> send(Target engine, EngineOrder order) {
+        return client.call(
+                        HttpMethod.POST,
+                        engine.host(),
+                        engine.port(),
+                        PATH,
+                        Codec.json().write(order))
+                .map(answer -> answer.require(engine.name(), STATUS_OK, STATUS_CONFLICT))
+                .map(answer -> Codec.json().read(answer.body(), EngineOrderAnswer.class, engine.name()));
+    }
+
+    @Override
+    public Single<EngineState> state(Target engine) {
+        return client.call(HttpMethod.GET, engine.host(), engine.port(), PATH, "")
+                .map(answer -> answer.require(engine.name(), STATUS_OK))
+                .map(answer -> Codec.json().read(answer.body(), EngineState.class, engine.name()));
+    }
+}
--- /dev/null
+++ b/fireflywalk-platform/src/main/java/io/fireflywalk/platform/order/HttpTargetPlatform.java
@@ -0,0 +1,70 @@
+package io.fireflywalk.platform.order;
+
+import io.fireflywalk.core.order.TargetOrder;
+import io.fireflywalk.core.order.TargetOrderOutcome;
+import io.fireflywalk.platform.codec.Codec;
+import io.reactivex.rxjava3.core.Single;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpMethod;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+/** The platform's target interface over HTTP with JSON. Thread-safe. */
+public final class HttpTargetPlatform implements TargetPlatform {
+    private static final String LOCATION = "target platform";
+    private static final int STATUS_OK = 200;
+    private static final int STATUS_NOT_FOUND = 404;
+
+    private final JsonHttpClient client;
+    private final String host;
+    private final int port;
+
+    public HttpTargetPlatform(Vertx vertx, String host, int port, Duration deadline) {
+        this.client = new JsonHttpClient(vertx, deadline);
+        this.host = host;
+        this.port = port;
+    }
+
+    @Override
+    public Single<TargetOrderOutcome> execute(TargetOrder order) {
+        return client.call(
+                        HttpMethod.POST,
+                        host,
+                        port,
+                        "/platform/v1/orders",
+                        Codec.json().write(order))
+                .map(answer -> answer.require(LOCATION, STATUS_OK))
+                .map(answer -> Codec.json().read(answer.body(), TargetOrderOutcome.class, LOCATION));
+    }
+
+    @Override
+    public Single<Optional<TargetOrderOutcome>> find(String orderId) {
+        return get("/platform/v1/orders/" + encode(orderId), STATUS_OK, STATUS_NOT_FOUND)
+                .map(answer -> answer.status() == STATUS_NOT_FOUND
+                        ? Optional.empty()
+                        : Optional.of(Codec.json().read(answer.body(), TargetOrderOutcome.class, LOCATION)));
+    }
+
+    @Override
+    public Single<List<PlatformTarget>> targets(String availabilityZone) {
+        return get("/platform/v1/targets?zone=" + encode(availabilityZone), STATUS_OK)
+                .map(answer -> List.of(Codec.json().read(answer.body(), PlatformTarget[].class, LOCATION)));
+    }
+
+    @Override
+    public Single<List<PlatformInstance>> instances() {
+        return get("/platform/v1/instances", STATUS_OK)
+                .map(answer -> List.of(Codec.json().read(answer.body(), PlatformInstance[].class, LOCATION)));
+    }
+
+    private Single<JsonHttpClient.Answer> get(String path, int... expected) {
+        return client.call(HttpMethod.GET, host, port, path, "").map(answer -> answer.require(LOCATION, expected));
+    }
+
+    private static String encode(String text) {
+        return URLEncoder.encode(text, StandardCharsets.UTF_8);
+    }
+}
--- a/fireflywalk-standin/src/main/java/io/fireflywalk/standin/ModelEngineServer.java
+++ b/fireflywalk-standin/src/main/java/io/fireflywalk/standin/ModelEngineServer.java
@@ -29,6 +29,7 @@
     private final long tokenMilliseconds;
     private final Map<String, Long> timersByAttempt = new HashMap<>();
     private long loadSequence;
+    private Optional<EngineOrderHandler> orders = Optional.empty();
 
     public ModelEngineServer(Vertx vertx, String model, String modelVersion, long tokenMilliseconds) {
         this.vertx = vertx;
@@ -38,6 +39,12 @@
         this.server = vertx.createHttpServer().requestHandler(this::handle);
     }
 
+    /** Makes the engine take orders. */
+    public ModelEngineServer withOrders(EngineOrderHandler handler) {
+        orders = Optional.of(handler);
+        return this;
+    }
+
     /** Starts to listen and returns the bound port. */
     public Future<Integer> listen(String host, int port) {
         return server.listen(port, host).map(HttpServer::actualPort);
@@ -54,6 +61,8 @@
             request.body().onSuccess(body -> complete(request, body));
         } else if (request.method().equals(HttpMethod.GET) && path.equals("/engine/v1/load")) {
             replyJson(request.response(), 200, load());
+        } else if (path.startsWith(EngineOrderHandler.PATH) && orders.isPresent()) {
+            orders.get().handle(request);
         } else if (request.method().equals(HttpMethod.DELETE) && path.startsWith("/engine/v1/requests/")) {
             cancel(path.substring("/engine/v1/requests/".length()));
             request.response().setStatusCode(204).end();
--- a/fireflywalk-standin/src/main/java/io/fireflywalk/standin/StandinMain.java
+++ b/fireflywalk-standin/src/main/java/io/fireflywalk/standin/StandinMain.java
@@ -3,9 +3,16 @@
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
+import io.fireflywalk.core.configuration.OrderChecking;
+import io.fireflywalk.core.order.EngineAssignment;
+import io.fireflywalk.core.order.EngineRole;
 import io.fireflywalk.platform.table.InMemoryTableService;
+import io.fireflywalk.platform.time.TimerService;
+import io.fireflywalk.platform.time.VertxTimerService;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 /** Command line of the stand-in processes. Prints the port that it listens on as its first line. */
 public final class StandinMain {
@@ -32,6 +39,18 @@
 
         @Parameter(names = "--token-milliseconds", description = "Time between tokens, in milliseconds")
         long tokenMilliseconds = 5;
+
+        @Parameter(names = "--order-checking", description = "Whether the engine checks fencing tokens")
+        OrderChecking orderChecking = OrderChecking.CHECKS_FENCING_TOKEN;
+
+        @Parameter(names = "--change-milliseconds", description = "Duration of a change of role or model")
+        long changeMilliseconds = 2000;
+    }
+
+    /** Options of the platform's target interface. */
+    static final class PlatformOptions extends ListenOptions {
+        @Parameter(names = "--instance-lag-milliseconds", description = "Lag of the instance list")
+        long instanceLagMilliseconds = 1000;
     }
 
     /** Starts the stand-in that the arguments name. */
@@ -39,11 +58,13 @@
         ListenOptions table = new ListenOptions();
         EngineOptions engine = new EngineOptions();
         ListenOptions plain = new ListenOptions();
+        PlatformOptions platform = new PlatformOptions();
         JCommander commander = JCommander.newBuilder()
                 .programName("fireflywalk-standin")
                 .addCommand("table-service", table)
                 .addCommand("model-engine", engine)
                 .addCommand("plain-service", plain)
+                .addCommand("platform", platform)
                 .build();
         try {
             commander.parse(arguments);
@@ -58,13 +79,21 @@
             return;
         }
         Vertx vertx = Vertx.vertx();
+        TimerService timers = new VertxTimerService(vertx, vertx.getOrCreateContext());
         Future<Integer> port =
                 switch (commander.getParsedCommand()) {
                     case "table-service" ->
                         new TableServiceServer(vertx, new InMemoryTableService()).listen(table.host, table.port);
                     case "model-engine" ->
                         new ModelEngineServer(vertx, engine.model, engine.modelVersion, engine.tokenMilliseconds)
+                                .withOrders(orderHandler(engine, timers))
                                 .listen(engine.host, engine.port);
+                    case "platform" ->
+                        new PlatformServer(
+                                        vertx,
+                                        new PlatformLedger(milliseconds(platform.instanceLagMilliseconds), true),
+                                        timers)
+                                .listen(platform.host, platform.port);
                     default -> new PlainServiceServer(vertx).listen(plain.host, plain.port);
                 };
         port.onSuccess(bound -> System.out.println("listening on port " + bound))
@@ -73,4 +102,14 @@
                     System.exit(1);
                 });
     }
+
+    private static EngineOrderHandler orderHandler(EngineOptions engine, TimerService timers) {
+        EngineAssignment initial = new EngineAssignment(EngineRole.MIXED, engine.model, engine.modelVersion, List.of());
+        return new EngineOrderHandler(
+                new EngineOrderBook(engine.orderChecking, initial, milliseconds(engine.changeMilliseconds)), timers);
+    }
+
+    private static long milliseconds(long count) {
+        return TimeUnit.MILLISECONDS.toNanos(count);
+    }
 }
