Drive engine and platform orders under leases

Cause: orders need a durable intent before the send, one pending order per receiver, and a successor that first settles what its predecessor left.

An engine that ignores fencing tokens gets its next order only after the delivery bound since the last send, so that no delayed or duplicated copy can undo it; it returns to rotation before that.

Found by the properties: the accessor isPending of the platform's intent was written as a field, so the intent could not be read back.

--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/order/EngineOrderFacts.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/order/EngineOrderFacts.java
@@ -14,8 +14,8 @@
  * @param acceptedIncarnation engine incarnation that accepted this order from this process under this token, if any
  * @param barrierIncarnation engine incarnation that accepted a barrier against this order from this process under this
  *     token, if any
- * @param ownSendsQuiet true if every send of this process was answered, or the delivery bound has passed since the last
- *     unanswered one
+ * @param ownSendsQuiet true if the delivery bound has passed since this process's last send, so that neither a delayed
+ *     nor a duplicated copy can still arrive
  * @param ended incarnations proven to have ended at least the delivery bound ago
  * @param silentForLong true if the engine has not settled the order within the replacement limit
  */
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/order/EngineOrderIntent.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/order/EngineOrderIntent.java
@@ -67,6 +67,11 @@
         return with(status, all, inRotation);
     }
 
+    /** Returns the intent while the engine gets requests again. */
+    public EngineOrderIntent backInRotation() {
+        return with(status, senders, true);
+    }
+
     /** Returns the settled intent. The engine is in rotation again unless it is to be replaced. */
     public EngineOrderIntent settled(Status settledStatus) {
         return with(settledStatus, senders, settledStatus != Status.REPLACE_ENGINE);
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/order/EngineOrderRules.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/order/EngineOrderRules.java
@@ -20,6 +20,8 @@
         SEND_BARRIER,
         /** Record that this process has no send under way and will send no more. */
         CLOSE,
+        /** Record that the engine may get requests again, although the next order has to wait. */
+        RETURN_TO_ROTATION,
         /** Record that the order has taken effect. */
         SETTLE_EFFECTIVE,
         /** Record that the order has no effect and can get none. */
@@ -76,6 +78,9 @@
             }
             return intent.hasOpenSender(facts.incarnation(), facts.token()) ? Step.SEND : Step.JOIN_AND_SEND;
         }
+        if (!intent.inRotation()) {
+            return Step.RETURN_TO_ROTATION;
+        }
         boolean othersClosed = intent.senders().stream()
                 .filter(sender -> !sender.incarnation().equals(facts.incarnation()))
                 .allMatch(sender -> sender.closed() || facts.ended().contains(sender.incarnation()));
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/order/TargetOrderIntent.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/order/TargetOrderIntent.java
@@ -14,7 +14,7 @@
 public record TargetOrderIntent(TargetOrder order, long token, String sender, Optional<TargetOrderOutcome> outcome) {
 
     /** Tells whether the order must still be driven to its end. */
-    public boolean isPending() {
+    public boolean awaitsOutcome() {
         return outcome.isEmpty();
     }
 
--- /dev/null
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/authority/RecordTable.java
@@ -0,0 +1,69 @@
+package io.fireflywalk.daemon.authority;
+
+import io.fireflywalk.core.error.ErrorKind;
+import io.fireflywalk.core.error.FireflywalkException;
+import io.fireflywalk.platform.codec.Codec;
+import io.fireflywalk.platform.table.TableService;
+import io.fireflywalk.platform.table.Transaction;
+import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Single;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+
+/** Records of one type in one table, written on the condition of the version that was read. Stateless. */
+final class RecordTable<T> {
+    private static final int PAGE = 500;
+
+    private final TableService tables;
+    private final String table;
+    private final Class<T> type;
+
+    RecordTable(TableService tables, String table, Class<T> type) {
+        this.tables = tables;
+        this.table = table;
+        this.type = type;
+    }
+
+    Single<Versioned<T>> read(String key) {
+        return tables.read(table, key).map(row -> {
+            if (row.isEmpty()) {
+                return new Versioned<T>(0, Optional.empty());
+            }
+            T value = Codec.json().read(row.get().value(), type, table + "/" + key);
+            return new Versioned<>(row.get().version(), Optional.of(value));
+        });
+    }
+
+    Single<List<T>> scan(String prefix) {
+        return scan(prefix, "", new ArrayList<>());
+    }
+
+    /** Writes the record, or fails with {@code VERSION_CONFLICT} if the row has another version. */
+    Completable write(String key, long expectedVersion, T value) {
+        Transaction transaction = Transaction.builder(table + "-" + UUID.randomUUID())
+                .expect(table, key, expectedVersion)
+                .put(table, key, Codec.json().write(value))
+                .build();
+        return tables.execute(transaction)
+                .flatMapCompletable(result -> result.committed()
+                        ? Completable.complete()
+                        : Completable.error(new FireflywalkException(
+                                ErrorKind.VERSION_CONFLICT, "another process changed the row", table + "/" + key)));
+    }
+
+    private Single<List<T>> scan(String prefix, String after, List<T> found) {
+        return tables.scan(table, prefix, after, PAGE).flatMap(rows -> {
+            for (var row : rows) {
+                found.add(Codec.json().read(row.value(), type, table + "/" + row.key()));
+            }
+            return rows.size() < PAGE
+                    ? Single.just(found)
+                    : scan(prefix, rows.get(rows.size() - 1).key(), found);
+        });
+    }
+
+    /** Record with the version of its row; version 0 and empty if there is none. */
+    record Versioned<T>(long version, Optional<T> value) {}
+}
