--- /dev/null
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/endtoend/AuthorityProcess.java
@@ -0,0 +1,129 @@
+package io.fireflywalk.daemon.endtoend;
+
+import com.codahale.metrics.MetricRegistry;
+import io.fireflywalk.core.configuration.OrderChecking;
+import io.fireflywalk.core.configuration.Target;
+import io.fireflywalk.core.configuration.TargetCharge;
+import io.fireflywalk.core.lease.LeaseTerms;
+import io.fireflywalk.core.lease.LeaseUnit;
+import io.fireflywalk.core.order.EngineAssignment;
+import io.fireflywalk.core.order.EngineRole;
+import io.fireflywalk.core.order.TargetOrder;
+import io.fireflywalk.daemon.authority.Authority;
+import io.fireflywalk.daemon.authority.AuthoritySettings;
+import io.fireflywalk.daemon.authority.EngineOrderService;
+import io.fireflywalk.daemon.authority.LeaseKeeper;
+import io.fireflywalk.daemon.authority.OrderSettings;
+import io.fireflywalk.daemon.authority.TargetOrderService;
+import io.fireflywalk.platform.order.HttpEngineOrderClient;
+import io.fireflywalk.platform.order.HttpTargetPlatform;
+import io.fireflywalk.platform.table.HttpTableService;
+import io.fireflywalk.platform.time.TimerService;
+import io.fireflywalk.platform.time.VertxTimerService;
+import io.reactivex.rxjava3.core.Completable;
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+import java.util.UUID;
+
+/** Process that holds a pool and an availability zone when it can and then sends orders all the time. */
+final class AuthorityProcess {
+    static final Duration LEASE = Duration.ofSeconds(3);
+    private static final Duration DEADLINE = Duration.ofMillis(500);
+    private static final LeaseUnit POOL = LeaseUnit.pool("draft");
+    private static final LeaseUnit ZONE = LeaseUnit.zone("zone-a");
+    private static final AuthoritySettings LEASES = new AuthoritySettings(
+            new LeaseTerms(LEASE, 0.01, DEADLINE),
+            Duration.ofMillis(800),
+            Duration.ofMillis(500),
+            Duration.ofMillis(100),
+            DEADLINE);
+    private static final OrderSettings ORDERS = new OrderSettings(
+            Duration.ofMillis(100), Duration.ofSeconds(2), Duration.ofSeconds(1), Duration.ofSeconds(100));
+    private static final Duration WORK_PERIOD = Duration.ofMillis(150);
+
+    private AuthorityProcess() {}
+
+    /** Arguments: own name, all names with commas, and the ports of table service, platform and two engines. */
+    public static void main(String[] arguments) {
+        Vertx vertx = Vertx.vertx();
+        Context context = vertx.getOrCreateContext();
+        context.runOnContext(ignored -> start(vertx, context, arguments));
+    }
+
+    private static void start(Vertx vertx, Context context, String[] arguments) {
+        String name = arguments[0];
+        List<String> members = List.of(arguments[1].split(","));
+        TimerService timers = new VertxTimerService(vertx, context);
+        HttpTableService tables = new HttpTableService(vertx, "127.0.0.1", port(arguments[2]), DEADLINE);
+        HttpTargetPlatform platform = new HttpTargetPlatform(vertx, "127.0.0.1", port(arguments[3]), DEADLINE);
+        List<Target> engines = List.of(
+                engine("checks", port(arguments[4]), OrderChecking.CHECKS_FENCING_TOKEN),
+                engine("ignores", port(arguments[5]), OrderChecking.IGNORES_FENCING_TOKEN));
+        Random random = new Random();
+        MetricRegistry metrics = new MetricRegistry();
+        LeaseKeeper keeper = new LeaseKeeper(
+                name, LEASES, tables, timers, random, metrics, () -> List.of(POOL, ZONE), () -> members);
+        EngineOrderService engineOrders = new EngineOrderService(
+                name,
+                keeper,
+                tables,
+                new HttpEngineOrderClient(vertx, DEADLINE),
+                platform,
+                timers,
+                ORDERS,
+                random,
+                metrics);
+        TargetOrderService targetOrders =
+                new TargetOrderService(name, keeper, tables, platform, timers, ORDERS, random, metrics);
+        keeper.whileHeld(
+                POOL,
+                authority -> announce(timers, authority)
+                        .andThen(engineOrders.adopt(POOL, () -> engines).onErrorComplete())
+                        .andThen(timers.every(WORK_PERIOD)
+                                .concatMapCompletable(tick -> Completable.concat(engines.stream()
+                                        .map(engine -> engineOrders
+                                                .submit(authority, engine, assignment(random))
+                                                .ignoreElement()
+                                                .onErrorComplete())
+                                        .toList()))));
+        keeper.whileHeld(
+                ZONE,
+                authority -> announce(timers, authority)
+                        .andThen(Completable.fromAction(() -> targetOrders.adopt(ZONE)))
+                        .andThen(timers.every(WORK_PERIOD)
+                                .concatMapCompletable(tick -> targetOrders
+                                        .submit(
+                                                authority,
+                                                TargetOrder.order(
+                                                        UUID.randomUUID().toString(),
+                                                        "zone-a",
+                                                        "small",
+                                                        TargetCharge.REGULAR,
+                                                        1))
+                                        .onErrorComplete())));
+        keeper.start();
+        engineOrders.start();
+        targetOrders.start();
+    }
+
+    private static Completable announce(TimerService timers, Authority authority) {
+        return Completable.fromAction(() -> System.out.println("acquired "
+                + authority.unit().key() + " token=" + authority.token() + " at " + timers.wallClockMilliseconds()));
+    }
+
+    private static EngineAssignment assignment(Random random) {
+        EngineRole role = List.of(EngineRole.values()).get(random.nextInt(3));
+        return new EngineAssignment(role, "draft", "1", List.of());
+    }
+
+    private static Target engine(String name, int port, OrderChecking checking) {
+        return new Target(name, "draft", "127.0.0.1", port, "zone-a", "1", TargetCharge.REGULAR, checking, false);
+    }
+
+    private static int port(String text) {
+        return Integer.parseInt(text);
+    }
+}
