Drive attempts, repeats and resumes by core state machines

The request path sent each request once and passed on whatever came back, so a truncated or crossed answer reached the caller as complete, a silent target held its caller until the deadline, and the run state was always the default of the error kind.

One call object per request now owns its attempts. Bodies count against a process-wide budget, progress is watched at connect, head, first byte and gaps.

Ruled out: charging resumes to the retry budget, because the loss of a zone would then break admitted streams; attempts and deadline bound them instead.

--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/request/RequestProgress.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/request/RequestProgress.java
@@ -1,41 +1,77 @@
 package io.fireflywalk.core.request;
 
 import io.fireflywalk.core.error.RunState;
+import java.util.ArrayList;
+import java.util.List;
 
 /**
- * What is known of all attempts of one request. Immutable.
+ * What is known of all attempts of one request, several of which may be open at a time. Immutable.
  *
- * @param mayHaveRun true if an attempt may have been executed by a target
- * @param answered true if a target has answered
- * @param attempts number of attempts that were started
+ * @param attempts states of the attempts in the order of their start
  */
-public record RequestProgress(boolean mayHaveRun, boolean answered, int attempts) {
-    private static final RequestProgress INITIAL = new RequestProgress(false, false, 0);
+public record RequestProgress(List<AttemptState> attempts) {
+    private static final RequestProgress INITIAL = new RequestProgress(List.of());
+
+    public RequestProgress {
+        attempts = List.copyOf(attempts);
+    }
 
     /** Returns the progress of a request without attempts. */
     public static RequestProgress initial() {
         return INITIAL;
     }
 
-    /** Returns the progress after an attempt ended in the phase. */
-    public RequestProgress attemptEnded(AttemptPhase phase) {
-        return switch (phase) {
-            case NOT_SENT, REFUSED -> new RequestProgress(mayHaveRun, answered, attempts + 1);
-            case MAYBE_SENT -> new RequestProgress(true, answered, attempts + 1);
-            case ANSWERED -> new RequestProgress(true, true, attempts + 1);
-        };
+    /** Returns the progress after the start of an attempt, whose index is the former number of attempts. */
+    public RequestProgress attemptStarted() {
+        List<AttemptState> next = new ArrayList<>(attempts);
+        next.add(AttemptState.initial());
+        return new RequestProgress(next);
+    }
+
+    /** Returns the progress after an event of the attempt at the index. */
+    public RequestProgress on(int index, AttemptEvent event) {
+        AttemptState changed = attempts.get(index).on(event);
+        if (changed.equals(attempts.get(index))) {
+            return this;
+        }
+        List<AttemptState> next = new ArrayList<>(attempts);
+        next.set(index, changed);
+        return new RequestProgress(next);
     }
 
-    /** Returns the strongest statement that is true of the request. */
+    /** Returns the strongest statement that is true of the request if all open attempts are abandoned now. */
     public RunState runState() {
-        if (answered) {
-            return RunState.RUN;
+        RunState state = RunState.NOT_RUN;
+        for (AttemptState attempt : attempts) {
+            if (attempt.phase() == AttemptPhase.ANSWERED) {
+                return RunState.RUN;
+            }
+            if (attempt.phase() == AttemptPhase.MAYBE_SENT) {
+                state = RunState.UNKNOWN;
+            }
         }
-        return mayHaveRun ? RunState.UNKNOWN : RunState.NOT_RUN;
+        return state;
     }
 
-    /** Tells whether another attempt cannot execute the request a second time. */
+    /** Tells whether the attempt at the index may begin to write: it is open and has not been abandoned. */
+    public boolean maySend(int index, boolean idempotent) {
+        if (!attempts.get(index).open()) {
+            return false;
+        }
+        return idempotent || othersProvablyNotRun(index);
+    }
+
+    /** Tells whether another attempt cannot execute a non-idempotent request a second time. */
     public boolean mayAttemptAgain(boolean idempotent) {
-        return idempotent || !mayHaveRun;
+        return idempotent || othersProvablyNotRun(-1);
+    }
+
+    private boolean othersProvablyNotRun(int index) {
+        for (int other = 0; other < attempts.size(); other++) {
+            if (other != index && !attempts.get(other).provablyNotRun()) {
+                return false;
+            }
+        }
+        return true;
     }
 }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/Daemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/Daemon.java
@@ -4,9 +4,10 @@
 import com.codahale.metrics.MetricRegistry;
 import io.fireflywalk.core.routing.TargetSelector;
 import io.fireflywalk.daemon.configuration.ConfigurationWatcher;
+import io.fireflywalk.daemon.gateway.GatewayContext;
 import io.fireflywalk.daemon.gateway.GatewayServer;
-import io.fireflywalk.daemon.gateway.ModelRequestHandler;
-import io.fireflywalk.daemon.gateway.PlainRequestHandler;
+import io.fireflywalk.daemon.gateway.RetryGovernor;
+import io.fireflywalk.daemon.gateway.TargetConnections;
 import io.fireflywalk.daemon.gateway.TargetPool;
 import io.fireflywalk.daemon.operators.ConfigurationChanger;
 import io.fireflywalk.daemon.operators.OperatorServer;
@@ -19,9 +20,6 @@
 import io.reactivex.rxjava3.core.Completable;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
-import io.vertx.core.http.HttpClient;
-import io.vertx.core.http.HttpClientOptions;
-import io.vertx.core.http.PoolOptions;
 import java.time.Duration;
 import java.util.UUID;
 import java.util.random.RandomGenerator;
@@ -30,7 +28,6 @@
 /** One instance: builds the parts, starts them, and drains them at shutdown. Confined to one event loop. */
 public final class Daemon {
     private static final Logger LOG = Logger.getLogger(Daemon.class);
-    private static final int CONNECTIONS_PER_TARGET = 1024;
     private static final Duration DRAIN_CHECK_PERIOD = Duration.ofMillis(50);
 
     private final DaemonSettings settings;
@@ -56,17 +53,8 @@
                 incarnation,
                 settings.usage().windowMilliseconds(),
                 Duration.ofMillis(settings.usage().flushMilliseconds()));
-        HttpClient client = vertx.createHttpClient(
-                new HttpClientOptions()
-                        .setConnectTimeout((int) settings.targets().connectMilliseconds()),
-                new PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_TARGET));
-        TargetPool pool = new TargetPool(TargetSelector.powerOfTwoChoices(), RandomGenerator.getDefault());
-        this.gateway = new GatewayServer(
-                vertx,
-                settings,
-                watcher::snapshot,
-                new ModelRequestHandler(client, pool, usage, settings),
-                new PlainRequestHandler(client, pool, usage));
+        GatewayContext context = gatewayContext(vertx, metrics);
+        this.gateway = new GatewayServer(vertx, context);
         this.operators = new OperatorServer(
                 vertx,
                 watcher::snapshot,
@@ -81,6 +69,19 @@
                 "configuration_version", (Gauge<Long>) () -> watcher.snapshot().version());
     }
 
+    private GatewayContext gatewayContext(Vertx vertx, MetricRegistry metrics) {
+        RandomGenerator random = RandomGenerator.getDefault();
+        return GatewayContext.create(
+                settings,
+                watcher::snapshot,
+                timers,
+                new TargetConnections(vertx, settings.targets(), timers),
+                new TargetPool(TargetSelector.powerOfTwoChoices(), random),
+                new RetryGovernor(settings.retries(), timers, random),
+                usage,
+                metrics);
+    }
+
     /** Starts all parts and returns the bound ports. */
     public Future<BoundPorts> start() {
         watcher.start();
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/ErrorResponder.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/ErrorResponder.java
@@ -3,6 +3,7 @@
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
 import io.fireflywalk.core.error.LogLevel;
+import io.vertx.core.Future;
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.json.JsonObject;
 import org.jboss.logging.Logger;
@@ -12,6 +13,10 @@
     /** Header that states whether the request was run. */
     public static final String RUN_STATE_HEADER = "x-fireflywalk-run-state";
 
+    /** Content type of server-sent events. */
+    static final String EVENT_STREAM = "text/event-stream";
+
+    private static final String RETRY_AFTER_SECONDS = "1";
     private static final Logger LOG = Logger.getLogger(ErrorResponder.class);
 
     private ErrorResponder() {}
@@ -25,18 +30,24 @@
     }
 
     /** Ends the response with the error, or with an error event if the response has begun. */
-    public static void respond(HttpServerResponse response, String requestId, FireflywalkException exception) {
+    public static Future<Void> respond(HttpServerResponse response, String requestId, FireflywalkException exception) {
         log(requestId, exception);
         if (response.ended() || response.closed()) {
-            return;
+            return Future.succeededFuture();
         }
         String body = body(requestId, exception).encode();
         if (response.headWritten()) {
             // The connection is closed without the final chunk, so that the caller cannot take the answer as complete.
-            response.write("event: error\ndata: " + body + "\n\n").onComplete(ignored -> response.reset());
-            return;
+            Future<Void> written = EVENT_STREAM.equals(response.headers().get("content-type"))
+                    ? response.write("event: error\ndata: " + body + "\n\n")
+                    : Future.succeededFuture();
+            return written.transform(
+                    ignored -> response.reset().otherwiseEmpty().mapEmpty());
+        }
+        if (exception.kind().retryable()) {
+            response.putHeader("retry-after", RETRY_AFTER_SECONDS);
         }
-        response.setStatusCode(exception.kind().httpStatus())
+        return response.setStatusCode(exception.kind().httpStatus())
                 .putHeader("content-type", "application/json")
                 .putHeader(RUN_STATE_HEADER, exception.runState().name())
                 .end(body);
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/GatewayServer.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/GatewayServer.java
@@ -2,11 +2,15 @@
 
 import io.fireflywalk.core.configuration.ConfigurationSnapshot;
 import io.fireflywalk.core.configuration.RoutedService;
+import io.fireflywalk.core.configuration.ServiceType;
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
 import io.fireflywalk.daemon.settings.DaemonSettings;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
@@ -15,40 +19,41 @@
 import io.vertx.core.json.JsonObject;
 import java.util.Optional;
 import java.util.UUID;
-import java.util.function.Supplier;
 
 /** HTTP server for callers. Authenticates each request and hands it to its handler. Confined to one event loop. */
 public final class GatewayServer {
     /** Header that carries the request identifier to the caller. */
     public static final String REQUEST_ID_HEADER = "x-fireflywalk-request-id";
 
+    private static final String LOCATION = "gateway";
     private static final String MODEL_PREFIX = "/v1/";
 
     private final HttpServer server;
-    private final Supplier<ConfigurationSnapshot> snapshots;
+    private final GatewayContext context;
     private final ModelRequestHandler modelHandler;
     private final PlainRequestHandler plainHandler;
+    private final CallerConnections connections;
     private boolean draining;
     private int requestsInFlight;
 
-    public GatewayServer(
-            Vertx vertx,
-            DaemonSettings settings,
-            Supplier<ConfigurationSnapshot> snapshots,
-            ModelRequestHandler modelHandler,
-            PlainRequestHandler plainHandler) {
-        this.snapshots = snapshots;
-        this.modelHandler = modelHandler;
-        this.plainHandler = plainHandler;
+    public GatewayServer(Vertx vertx, GatewayContext context) {
+        this.context = context;
+        this.modelHandler = new ModelRequestHandler(context);
+        this.plainHandler = new PlainRequestHandler(context);
+        DaemonSettings.Limits limits = context.settings().limits();
+        this.connections = new CallerConnections(limits, context.timers());
         this.server = vertx.createHttpServer(new HttpServerOptions()
-                        .setMaxInitialLineLength(settings.limits().requestLineBytes())
-                        .setMaxHeaderSize(settings.limits().headerBytes())
+                        .setMaxInitialLineLength(limits.requestLineBytes())
+                        .setMaxHeaderSize(limits.headerBytes())
                         .setHandle100ContinueAutomatically(true))
+                .connectionHandler(connections::opened)
+                .invalidRequestHandler(this::refuseInvalid)
                 .requestHandler(this::handle);
     }
 
     /** Starts to listen and returns the bound port. */
     public Future<Integer> listen(String host, int port) {
+        connections.start();
         return server.listen(port, host).map(HttpServer::actualPort);
     }
 
@@ -71,47 +76,73 @@
         String requestId = UUID.randomUUID().toString();
         request.response().putHeader(REQUEST_ID_HEADER, requestId);
         requestsInFlight++;
+        HttpConnection connection = request.connection();
+        boolean withinLimit = connections.requestBegan(connection);
         boolean[] counted = {true};
         Runnable ended = () -> {
             if (counted[0]) {
                 counted[0] = false;
                 requestsInFlight--;
+                connections.requestEnded(connection);
             }
         };
-        request.response().endHandler(ignored -> ended.run()).closeHandler(ignored -> ended.run());
+        request.response().closeHandler(ignored -> ended.run());
+        Optional<String> presentedKey = KeyAuthenticator.presentedKey(request.headers());
+        RequestScope scope =
+                new RequestScope(requestId, request, context.snapshots().get(), "", presentedKey, ended);
         try {
-            dispatch(requestId, request);
+            if (!withinLimit) {
+                request.response().putHeader("connection", "close");
+                throw new FireflywalkException(ErrorKind.CONNECTION_LIMIT, "too many connections", LOCATION);
+            }
+            dispatch(scope);
         } catch (FireflywalkException exception) {
-            ErrorResponder.respond(request.response(), requestId, exception);
+            context.metrics().requestEnded(exception.kind().code());
+            scope.fail(exception);
+        }
+    }
+
+    private void refuseInvalid(HttpServerRequest request) {
+        Throwable cause = request.decoderResult().cause();
+        ErrorKind kind = ErrorKind.INVALID_REQUEST;
+        if (cause instanceof TooLongHttpLineException) {
+            kind = ErrorKind.URL_TOO_LONG;
+        } else if (cause instanceof TooLongHttpHeaderException) {
+            kind = ErrorKind.HEADERS_TOO_LARGE;
         }
+        // The decoder's message may quote the request, so it is not passed on.
+        var exception = new FireflywalkException(kind, "the request is not valid HTTP or too large", LOCATION);
+        context.metrics().requestEnded(kind.code());
+        request.response().putHeader("connection", "close");
+        ErrorResponder.respond(request.response(), UUID.randomUUID().toString(), exception);
     }
 
-    private void dispatch(String requestId, HttpServerRequest request) throws FireflywalkException {
+    private void dispatch(RequestScope arrived) throws FireflywalkException {
+        HttpServerRequest request = arrived.request();
         if (draining) {
             request.response().putHeader("connection", "close");
-            throw new FireflywalkException(ErrorKind.DRAINING, "the instance is shutting down", "gateway");
+            throw new FireflywalkException(ErrorKind.DRAINING, "the instance is shutting down", LOCATION);
         }
-        ConfigurationSnapshot snapshot = snapshots.get();
+        CallerInput.requireWellFormed(request);
+        ConfigurationSnapshot snapshot = arrived.snapshot();
         String path = request.path();
         if (path.startsWith(MODEL_PREFIX)) {
-            dispatchModel(requestId, request, snapshot);
+            dispatchModel(arrived.withAccount(KeyAuthenticator.authenticate(snapshot, request.headers())));
             return;
         }
         String method = request.method().name();
         Optional<RoutedService> routed = snapshot.plainRoute(path, method);
         if (routed.isEmpty()) {
             ErrorKind kind = snapshot.hasPlainPath(path) ? ErrorKind.METHOD_NOT_ALLOWED : ErrorKind.UNKNOWN_ROUTE;
-            throw new FireflywalkException(kind, "no route for " + method + " on this path", "gateway");
+            throw new FireflywalkException(kind, "no route for this method and path", LOCATION);
         }
         String account =
                 routed.get().route().openToAll() ? "" : KeyAuthenticator.authenticate(snapshot, request.headers());
-        plainHandler.handle(new RequestScope(requestId, request, snapshot, account), routed.get());
+        plainHandler.handle(arrived.withAccount(account), routed.get());
     }
 
-    private void dispatchModel(String requestId, HttpServerRequest request, ConfigurationSnapshot snapshot)
-            throws FireflywalkException {
-        String account = KeyAuthenticator.authenticate(snapshot, request.headers());
-        RequestScope scope = new RequestScope(requestId, request, snapshot, account);
+    private void dispatchModel(RequestScope scope) throws FireflywalkException {
+        HttpServerRequest request = scope.request();
         switch (request.path()) {
             case "/v1/chat/completions", "/v1/completions" -> {
                 requireMethod(request, HttpMethod.POST);
@@ -121,27 +152,25 @@
                 requireMethod(request, HttpMethod.GET);
                 listModels(scope);
             }
-            default -> throw new FireflywalkException(ErrorKind.UNKNOWN_ROUTE, "unknown path", "gateway");
+            default -> throw new FireflywalkException(ErrorKind.UNKNOWN_ROUTE, "unknown path", LOCATION);
         }
     }
 
     private static void requireMethod(HttpServerRequest request, HttpMethod method) throws FireflywalkException {
         if (!request.method().equals(method)) {
-            throw new FireflywalkException(ErrorKind.METHOD_NOT_ALLOWED, "the path takes " + method, "gateway");
+            throw new FireflywalkException(ErrorKind.METHOD_NOT_ALLOWED, "the path takes " + method, LOCATION);
         }
     }
 
     private static void listModels(RequestScope scope) {
         JsonArray models = new JsonArray();
         scope.snapshot().services().stream()
-                .filter(service -> service.routes().isEmpty())
+                .filter(service -> service.type() == ServiceType.MODEL)
                 .forEach(service -> models.add(new JsonObject()
                         .put("id", service.name())
                         .put("object", "model")
                         .put("owned_by", "fireflywalk")));
-        scope.request()
-                .response()
-                .putHeader("content-type", "application/json")
-                .end(new JsonObject().put("object", "list").put("data", models).encode());
+        scope.response().putHeader("content-type", "application/json");
+        scope.end(new JsonObject().put("object", "list").put("data", models).toBuffer());
     }
 }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/HeaderFilter.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/HeaderFilter.java
@@ -1,7 +1,9 @@
 package io.fireflywalk.daemon.gateway;
 
 import io.vertx.core.MultiMap;
+import java.util.HashSet;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.Set;
 
 /** Decides which headers pass between callers and targets. Stateless. */
@@ -11,6 +13,7 @@
             "keep-alive",
             "proxy-authenticate",
             "proxy-authorization",
+            "proxy-connection",
             "te",
             "trailer",
             "transfer-encoding",
@@ -19,6 +22,7 @@
     private static final Set<String> FROM_CALLER_ONLY = Set.of(
             "authorization",
             "x-api-key",
+            "api-key",
             "cookie",
             "host",
             "content-length",
@@ -27,32 +31,65 @@
             "x-attempt-id",
             "x-priority",
             "x-deadline-ms",
-            "x-client-account");
+            "x-client-account",
+            "x-real-ip",
+            "x-remote-user",
+            "x-user",
+            "x-user-id",
+            "forwarded",
+            "remote-user");
+    private static final Set<String> FROM_TARGET_ONLY = Set.of("x-attempt-id", "x-engine-admitted", "content-length");
+    private static final Set<String> IDENTITY_PREFIXES =
+            Set.of("x-forwarded-", "x-authenticated-", "x-auth-", "x-engine-");
     private static final String OWN_PREFIX = "x-fireflywalk-";
 
     private HeaderFilter() {}
 
     /** Copies the headers of a caller that a target may see; keys and identity headers are dropped. */
-    public static void copyToTarget(MultiMap callerHeaders, MultiMap targetHeaders) {
+    public static void copyToTarget(
+            MultiMap callerHeaders, MultiMap targetHeaders, Optional<String> presentedKey, boolean keepCookies) {
+        Set<String> named = namedByConnection(callerHeaders);
         callerHeaders.forEach((name, value) -> {
             String lowerCase = name.toLowerCase(Locale.ROOT);
-            if (passes(lowerCase) && !FROM_CALLER_ONLY.contains(lowerCase)) {
+            if (passes(lowerCase, named)
+                    && !FROM_CALLER_ONLY.contains(lowerCase)
+                    && IDENTITY_PREFIXES.stream().noneMatch(lowerCase::startsWith)
+                    && !KeyRemover.holdsKey(value, presentedKey)) {
                 targetHeaders.add(lowerCase, value);
             }
         });
+        if (keepCookies) {
+            callerHeaders
+                    .getAll("cookie")
+                    .forEach(cookies -> KeyRemover.cookiesWithoutKey(cookies, presentedKey)
+                            .ifPresent(kept -> targetHeaders.add("cookie", kept)));
+        }
     }
 
-    /** Copies the headers of a target that a caller may see. */
+    /** Copies the headers of a target that a caller may see, without the length of the body. */
     public static void copyToCaller(MultiMap targetHeaders, MultiMap callerHeaders) {
+        Set<String> named = namedByConnection(targetHeaders);
         targetHeaders.forEach((name, value) -> {
             String lowerCase = name.toLowerCase(Locale.ROOT);
-            if (passes(lowerCase) && !lowerCase.equals("x-attempt-id")) {
+            if (passes(lowerCase, named) && !FROM_TARGET_ONLY.contains(lowerCase)) {
                 callerHeaders.add(lowerCase, value);
             }
         });
     }
 
-    private static boolean passes(String lowerCaseName) {
-        return !HOP_BY_HOP.contains(lowerCaseName) && !lowerCaseName.startsWith(OWN_PREFIX);
+    private static Set<String> namedByConnection(MultiMap headers) {
+        Set<String> named = new HashSet<>();
+        for (String value : headers.getAll("connection")) {
+            for (String name : value.split(",", -1)) {
+                named.add(name.trim().toLowerCase(Locale.ROOT));
+            }
+        }
+        return named;
+    }
+
+    private static boolean passes(String lowerCaseName, Set<String> namedByConnection) {
+        return !HOP_BY_HOP.contains(lowerCaseName)
+                && !namedByConnection.contains(lowerCaseName)
+                && !lowerCaseName.startsWith(OWN_PREFIX);
     }
 }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/KeyAuthenticator.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/KeyAuthenticator.java
@@ -22,7 +22,11 @@
 
     /** Returns the account of the key in the headers. */
     public static String authenticate(ConfigurationSnapshot snapshot, MultiMap headers) throws FireflywalkException {
-        String key = keyOf(headers)
+        if (headers.getAll("authorization").size() > 1
+                || headers.getAll("x-api-key").size() > 1) {
+            throw new FireflywalkException(ErrorKind.INVALID_REQUEST, "more than one key was sent", LOCATION);
+        }
+        String key = presentedKey(headers)
                 .orElseThrow(() -> new FireflywalkException(ErrorKind.MISSING_KEY, "no key was sent", LOCATION));
         int dot = key.indexOf('.');
         String name = dot < 0 ? "" : key.substring(0, dot);
@@ -35,10 +39,11 @@
         return document.get().clientAccount();
     }
 
-    private static Optional<String> keyOf(MultiMap headers) {
+    /** Returns the key in the headers, whether or not it is valid. */
+    public static Optional<String> presentedKey(MultiMap headers) {
         String authorization = headers.get("authorization");
-        if (authorization != null && authorization.startsWith(BEARER)) {
-            return Optional.of(authorization.substring(BEARER.length()));
+        if (authorization != null && authorization.regionMatches(true, 0, BEARER, 0, BEARER.length())) {
+            return Optional.of(authorization.substring(BEARER.length()).trim());
         }
         return Optional.ofNullable(headers.get("x-api-key"));
     }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/ModelRequest.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/ModelRequest.java
@@ -10,49 +10,52 @@
 import java.util.Optional;
 
 /**
- * The fields of a completion request that routing needs.
+ * A completion request with the fields that the request path needs.
  *
  * @param model name of the model
  * @param stream true if the caller wants server-sent events
  * @param maximumTokens bound of generated tokens that the caller sent
- * @param bodyBytes size of the body
+ * @param body the body as the caller sent it
  */
-public record ModelRequest(String model, boolean stream, Optional<Integer> maximumTokens, int bodyBytes) {
+public record ModelRequest(String model, boolean stream, Optional<Integer> maximumTokens, Buffer body) {
     private static final String LOCATION = "request body";
 
     /** Reads the top-level fields without building a tree of the body. */
-    public static ModelRequest parse(Buffer body) throws FireflywalkException {
-        Optional<String> model = Optional.empty();
-        boolean stream = false;
-        Optional<Integer> maximumTokens = Optional.empty();
+    public static ModelRequest parse(Buffer body, int tokenLimit) throws FireflywalkException {
+        Fields fields = new Fields(tokenLimit);
         try (JsonParser parser = Codec.json().mapper().createParser(body.getBytes())) {
+            parser.enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION);
             require(parser.nextToken() == JsonToken.START_OBJECT, "body must be a JSON object");
             while (parser.nextToken() == JsonToken.FIELD_NAME) {
-                String field = parser.currentName();
-                JsonToken value = parser.nextToken();
-                switch (field) {
-                    case "model" -> {
-                        require(value == JsonToken.VALUE_STRING, "model must be a string");
-                        model = Optional.of(parser.getText());
-                    }
-                    case "stream" -> {
-                        require(value.isBoolean(), "stream must be true or false");
-                        stream = value == JsonToken.VALUE_TRUE;
-                    }
-                    case "max_tokens" -> {
-                        require(value == JsonToken.VALUE_NUMBER_INT, "max_tokens must be a whole number");
-                        maximumTokens = Optional.of(parser.getIntValue());
-                    }
-                    case "resume" -> throw invalid("resume is not a field of callers");
-                    default -> parser.skipChildren();
-                }
+                fields.read(parser);
             }
             require(parser.nextToken() == null, "body has text after the JSON object");
         } catch (IOException exception) {
-            throw new FireflywalkException(ErrorKind.INVALID_JSON, "body is not valid JSON", LOCATION, exception);
+            // The parser's message may quote the body, so it is not passed on.
+            throw new FireflywalkException(
+                    ErrorKind.INVALID_JSON, "body is not valid JSON or has a duplicate field", LOCATION);
+        }
+        String name = fields.model.orElseThrow(() -> invalid("model is missing"));
+        return new ModelRequest(name, fields.stream, fields.maximumTokens, body);
+    }
+
+    /** Returns the size of the body. */
+    public int bodyBytes() {
+        return body.length();
+    }
+
+    /** Returns the body of an attempt that continues after the generated text. */
+    Buffer resumeBody(String generatedText) {
+        int end = body.length() - 1;
+        while (body.getByte(end) != '}') {
+            end--;
         }
-        String name = model.orElseThrow(() -> invalid("model is missing"));
-        return new ModelRequest(name, stream, maximumTokens, body.length());
+        // The object has at least the model, so that the comma is right.
+        return Buffer.buffer(body.length() + generatedText.length() + 64)
+                .appendBuffer(body, 0, end)
+                .appendString(",\"resume\":{\"generated_text\":")
+                .appendString(Codec.json().write(generatedText))
+                .appendString("}}");
     }
 
     private static void require(boolean condition, String message) throws FireflywalkException {
@@ -64,4 +67,58 @@
     private static FireflywalkException invalid(String message) {
         return new FireflywalkException(ErrorKind.INVALID_REQUEST, message, LOCATION);
     }
+
+    /** Fields found so far. */
+    private static final class Fields {
+        private final int tokenLimit;
+        private Optional<String> model = Optional.empty();
+        private boolean stream;
+        private Optional<Integer> maximumTokens = Optional.empty();
+
+        Fields(int tokenLimit) {
+            this.tokenLimit = tokenLimit;
+        }
+
+        void read(JsonParser parser) throws IOException, FireflywalkException {
+            String field = parser.currentName();
+            JsonToken value = parser.nextToken();
+            switch (field) {
+                case "model" -> {
+                    require(value == JsonToken.VALUE_STRING, "model must be a string");
+                    model = Optional.of(parser.getText());
+                }
+                case "stream" -> {
+                    require(value != null && value.isBoolean(), "stream must be true or false");
+                    stream = value == JsonToken.VALUE_TRUE;
+                }
+                case "max_tokens", "max_completion_tokens" -> maximumTokens = Optional.of(tokens(field, parser));
+                case "n" -> require(isOne(parser), "n must be 1");
+                case "messages" -> {
+                    require(value == JsonToken.START_ARRAY, "messages must be an array");
+                    parser.skipChildren();
+                }
+                case "prompt" -> {
+                    boolean accepted = value == JsonToken.VALUE_STRING || value == JsonToken.START_ARRAY;
+                    require(accepted, "prompt must be a string or an array");
+                    parser.skipChildren();
+                }
+                case "resume" -> throw invalid("resume is not a field of callers");
+                default -> parser.skipChildren();
+            }
+        }
+
+        private int tokens(String field, JsonParser parser) throws IOException, FireflywalkException {
+            require(parser.currentToken() == JsonToken.VALUE_NUMBER_INT, field + " must be a whole number");
+            boolean small = parser.getNumberType() == JsonParser.NumberType.INT;
+            boolean inRange = small && parser.getIntValue() >= 1 && parser.getIntValue() <= tokenLimit;
+            require(inRange, field + " must be 1 to " + tokenLimit);
+            return parser.getIntValue();
+        }
+
+        private static boolean isOne(JsonParser parser) throws IOException {
+            return parser.currentToken() == JsonToken.VALUE_NUMBER_INT
+                    && parser.getNumberType() == JsonParser.NumberType.INT
+                    && parser.getIntValue() == 1;
+        }
+    }
 }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/ModelRequestHandler.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/ModelRequestHandler.java
@@ -1,122 +1,59 @@
 package io.fireflywalk.daemon.gateway;
 
-import io.fireflywalk.core.configuration.Target;
+import io.fireflywalk.core.configuration.Service;
+import io.fireflywalk.core.configuration.ServiceType;
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
-import io.fireflywalk.daemon.settings.DaemonSettings;
-import io.fireflywalk.daemon.usage.UsageRecorder;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClient;
-import io.vertx.core.http.HttpClientResponse;
-import io.vertx.core.http.HttpMethod;
-import io.vertx.core.http.HttpServerResponse;
-import io.vertx.core.http.RequestOptions;
-import java.util.Set;
-import java.util.UUID;
+import java.time.Duration;
 
-/** Sends completion requests to runners and streams their answers to callers. Confined to one event loop. */
+/** Receives completion requests and starts their calls. Confined to one event loop. */
 public final class ModelRequestHandler {
-    private final HttpClient client;
-    private final TargetPool pool;
-    private final UsageRecorder usage;
-    private final DaemonSettings settings;
+    private final GatewayContext context;
 
-    public ModelRequestHandler(HttpClient client, TargetPool pool, UsageRecorder usage, DaemonSettings settings) {
-        this.client = client;
-        this.pool = pool;
-        this.usage = usage;
-        this.settings = settings;
+    public ModelRequestHandler(GatewayContext context) {
+        this.context = context;
     }
 
     /** Handles a request whose key is valid. */
     public void handle(RequestScope scope) {
-        Buffer body = Buffer.buffer();
-        boolean[] refused = {false};
-        scope.request().handler(chunk -> {
-            if (refused[0]) {
-                return;
-            }
-            if (body.length() + chunk.length() > settings.limits().bodyBytes()) {
-                refused[0] = true;
-                fail(scope, new FireflywalkException(ErrorKind.BODY_TOO_LARGE, "the body is too large", "gateway"));
-                return;
-            }
-            body.appendBuffer(chunk);
-        });
-        scope.request().endHandler(ignored -> {
-            if (!refused[0]) {
-                route(scope, body);
-            }
+        long receivedNanoseconds = context.timers().monotonicNanoseconds();
+        BodyCollector collector = new BodyCollector(
+                context, scope.request(), context.settings().limits().bodyBytes());
+        scope.response().closeHandler(ignored -> {
+            collector.release();
+            scope.ended().run();
         });
+        collector
+                .collect()
+                .onSuccess(body -> route(scope, collector, body, receivedNanoseconds))
+                .onFailure(cause -> refuse(scope, collector, ErrorResponder.asKnown(cause, "request body")));
     }
 
-    private void route(RequestScope scope, Buffer body) {
+    private void route(RequestScope scope, BodyCollector collector, Buffer body, long receivedNanoseconds) {
         try {
-            ModelRequest model = ModelRequest.parse(body);
-            if (scope.snapshot().service(model.model()).isEmpty()) {
-                throw new FireflywalkException(ErrorKind.UNKNOWN_MODEL, "unknown model", "request body");
+            ModelRequest model =
+                    ModelRequest.parse(body, context.settings().limits().maximumTokens());
+            Service service = scope.snapshot()
+                    .service(model.model())
+                    .filter(candidate -> candidate.type() == ServiceType.MODEL)
+                    .orElseThrow(
+                            () -> new FireflywalkException(ErrorKind.UNKNOWN_MODEL, "unknown model", "request body"));
+            Duration deadline = CallerInput.deadline(scope.request(), service.defaultDeadlineMilliseconds())
+                    .minusNanos(context.timers().monotonicNanoseconds() - receivedNanoseconds);
+            if (model.stream()) {
+                new StreamCall(context, scope, model, collector, deadline).beginWithComments();
+            } else {
+                new ModelCall(context, scope, model, collector, deadline).beginWithHedge();
             }
-            Target target = pool.choose(scope.snapshot(), model.model(), scope.requestId(), Set.of());
-            send(scope, model, target, body);
         } catch (FireflywalkException exception) {
-            fail(scope, exception);
+            refuse(scope, collector, exception);
         }
     }
 
-    private void send(RequestScope scope, ModelRequest model, Target target, Buffer body) {
-        String attemptId = UUID.randomUUID().toString();
-        pool.attemptStarted(target);
-        RequestOptions options = new RequestOptions()
-                .setMethod(HttpMethod.POST)
-                .setHost(target.host())
-                .setPort(target.port())
-                .setURI(scope.request().path());
-        client.request(options)
-                .compose(request -> {
-                    HeaderFilter.copyToTarget(scope.request().headers(), request.headers());
-                    request.putHeader("x-request-id", scope.requestId()).putHeader("x-attempt-id", attemptId);
-                    scope.request().response().closeHandler(ignored -> request.reset());
-                    return request.send(body);
-                })
-                .onSuccess(answer -> forward(scope, model, target, answer))
-                .onFailure(cause -> {
-                    pool.attemptEnded(target);
-                    fail(scope, failed(target, cause));
-                });
-    }
-
-    private void forward(RequestScope scope, ModelRequest model, Target target, HttpClientResponse answer) {
-        HttpServerResponse response = scope.request().response();
-        response.setStatusCode(answer.statusCode());
-        HeaderFilter.copyToCaller(answer.headers(), response.headers());
-        if (!response.headers().contains("content-length")) {
-            response.setChunked(true);
-        }
-        UsageScanner scanner = new UsageScanner();
-        answer.handler(chunk -> {
-            scanner.accept(chunk);
-            response.write(chunk);
-            if (response.writeQueueFull()) {
-                answer.pause();
-                response.drainHandler(ignored -> answer.resume());
-            }
-        });
-        answer.exceptionHandler(cause -> {
-            pool.attemptEnded(target);
-            fail(scope, failed(target, cause));
-        });
-        answer.endHandler(ignored -> {
-            pool.attemptEnded(target);
-            usage.record(scope.clientAccount(), model.model(), scanner.promptTokens(), scanner.generatedTokens());
-            response.end();
-        });
-    }
-
-    private static FireflywalkException failed(Target target, Throwable cause) {
-        return new FireflywalkException(ErrorKind.TARGET_FAILED, "the target failed", "target " + target.name(), cause);
-    }
-
-    private static void fail(RequestScope scope, FireflywalkException exception) {
-        ErrorResponder.respond(scope.request().response(), scope.requestId(), exception);
+    private void refuse(RequestScope scope, BodyCollector collector, FireflywalkException exception) {
+        collector.release();
+        context.metrics().requestEnded(exception.kind().code());
+        scope.fail(exception);
     }
 }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/PlainRequestHandler.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/PlainRequestHandler.java
@@ -1,74 +1,53 @@
 package io.fireflywalk.daemon.gateway;
 
 import io.fireflywalk.core.configuration.RoutedService;
-import io.fireflywalk.core.configuration.Target;
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
-import io.fireflywalk.daemon.usage.UsageRecorder;
-import io.vertx.core.http.HttpClient;
-import io.vertx.core.http.HttpClientResponse;
-import io.vertx.core.http.HttpServerResponse;
-import io.vertx.core.http.RequestOptions;
-import java.util.Set;
-import java.util.UUID;
+import java.time.Duration;
 
-/** Passes requests to plain services and their answers to callers, both as streams. Confined to one event loop. */
+/** Receives requests to plain services and starts their calls. Confined to one event loop. */
 public final class PlainRequestHandler {
-    private final HttpClient client;
-    private final TargetPool pool;
-    private final UsageRecorder usage;
+    private final GatewayContext context;
 
-    public PlainRequestHandler(HttpClient client, TargetPool pool, UsageRecorder usage) {
-        this.client = client;
-        this.pool = pool;
-        this.usage = usage;
+    public PlainRequestHandler(GatewayContext context) {
+        this.context = context;
     }
 
-    /** Handles a request whose key is valid, or whose route is open to all. */
+    /**
+     * Handles a request whose key is valid, or whose route is open to all. A small body is collected first, so that a
+     * refused request can go to another target and a slow sender occupies none; a large one is streamed.
+     */
     public void handle(RequestScope scope, RoutedService routed) throws FireflywalkException {
-        Target target = pool.choose(scope.snapshot(), routed.service().name(), scope.requestId(), Set.of());
-        pool.attemptStarted(target);
-        scope.request().pause();
-        RequestOptions options = new RequestOptions()
-                .setMethod(scope.request().method())
-                .setHost(target.host())
-                .setPort(target.port())
-                .setURI(scope.request().uri());
-        client.request(options)
-                .compose(request -> {
-                    HeaderFilter.copyToTarget(scope.request().headers(), request.headers());
-                    request.putHeader("x-request-id", scope.requestId())
-                            .putHeader("x-attempt-id", UUID.randomUUID().toString());
-                    String length = scope.request().getHeader("content-length");
-                    if (length != null) {
-                        request.putHeader("content-length", length);
-                    } else {
-                        request.setChunked(true);
-                    }
-                    return request.send(scope.request());
-                })
-                .compose(answer -> forward(scope, answer))
-                .onSuccess(ignored -> {
-                    pool.attemptEnded(target);
-                    usage.record(scope.clientAccount(), routed.service().name(), 0, 0);
-                })
+        long length = CallerInput.declaredLength(scope.request());
+        int maximumBytes = context.settings().limits().bodyBytes();
+        if (length > maximumBytes) {
+            throw new FireflywalkException(
+                    ErrorKind.BODY_TOO_LARGE, "the body is larger than " + maximumBytes + " bytes", "request head");
+        }
+        Duration deadline =
+                CallerInput.deadline(scope.request(), routed.service().defaultDeadlineMilliseconds());
+        String uri = KeyRemover.uriWithoutKey(scope.request().uri(), scope.presentedKey());
+        int collectedBytes = context.settings().limits().repeatableBodyBytes();
+        if (length < 0 || length > collectedBytes) {
+            scope.request().pause();
+            new PlainCall(context, scope, routed, uri, deadline).begin();
+            return;
+        }
+        BodyCollector collector = new BodyCollector(context, scope.request(), collectedBytes);
+        scope.response().closeHandler(ignored -> {
+            collector.release();
+            scope.ended().run();
+        });
+        collector
+                .collect()
+                .onSuccess(body -> new PlainCall(context, scope, routed, uri, deadline)
+                        .withBody(body, collector)
+                        .begin())
                 .onFailure(cause -> {
-                    pool.attemptEnded(target);
-                    ErrorResponder.respond(
-                            scope.request().response(),
-                            scope.requestId(),
-                            new FireflywalkException(
-                                    ErrorKind.TARGET_FAILED, "the target failed", "target " + target.name(), cause));
+                    FireflywalkException known = ErrorResponder.asKnown(cause, "request body");
+                    collector.release();
+                    context.metrics().requestEnded(known.kind().code());
+                    scope.fail(known);
                 });
     }
-
-    private static io.vertx.core.Future<Void> forward(RequestScope scope, HttpClientResponse answer) {
-        HttpServerResponse response = scope.request().response();
-        response.setStatusCode(answer.statusCode());
-        HeaderFilter.copyToCaller(answer.headers(), response.headers());
-        if (!response.headers().contains("content-length")) {
-            response.setChunked(true);
-        }
-        return answer.pipeTo(response);
-    }
 }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/RequestScope.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/RequestScope.java
@@ -1,7 +1,12 @@
 package io.fireflywalk.daemon.gateway;
 
 import io.fireflywalk.core.configuration.ConfigurationSnapshot;
+import io.fireflywalk.core.error.FireflywalkException;
+import io.vertx.core.Future;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import java.util.Optional;
 
 /**
  * What all steps of one request share.
@@ -10,6 +15,49 @@
  * @param request the caller's request
  * @param snapshot configuration at arrival
  * @param clientAccount account of the key; empty text on routes open to all
+ * @param presentedKey key that the request carried, which no target may see
+ * @param ended called once the last byte of the answer has been handed to the operating system
  */
 public record RequestScope(
-        String requestId, HttpServerRequest request, ConfigurationSnapshot snapshot, String clientAccount) {}
+        String requestId,
+        HttpServerRequest request,
+        ConfigurationSnapshot snapshot,
+        String clientAccount,
+        Optional<String> presentedKey,
+        Runnable ended) {
+
+    /** Returns the same request with the account of its key. */
+    RequestScope withAccount(String account) {
+        return new RequestScope(requestId, request, snapshot, account, presentedKey, ended);
+    }
+
+    /** Returns the caller's response. */
+    public HttpServerResponse response() {
+        return request.response();
+    }
+
+    /** Ends the answer with its last bytes. */
+    public void end(Buffer lastBytes) {
+        whenWritten(response().end(lastBytes));
+    }
+
+    /** Ends the answer. */
+    public void end() {
+        whenWritten(response().end());
+    }
+
+    /** Ends the answer with an error. */
+    public void fail(FireflywalkException exception) {
+        whenWritten(ErrorResponder.respond(response(), requestId, exception));
+    }
+
+    private void whenWritten(Future<Void> written) {
+        written.onComplete(ignored -> ended.run());
+    }
+
+    /** Leaves the key out, so that the record can be part of a message. */
+    @Override
+    public String toString() {
+        return "request " + requestId;
+    }
+}
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/TargetPool.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/TargetPool.java
@@ -10,7 +10,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.jboss.logging.Logger;
 
@@ -27,11 +27,11 @@
         this.random = random;
     }
 
-    /** Chooses a target of the service that is not leaving and not excluded, and logs the decision. */
-    public Target choose(ConfigurationSnapshot snapshot, String service, String requestId, Set<String> excluded)
+    /** Chooses a target of the service that is not leaving and is eligible, and logs the decision. */
+    public Target choose(ConfigurationSnapshot snapshot, String service, String requestId, Predicate<Target> eligible)
             throws FireflywalkException {
         List<TargetLoad> candidates = snapshot.targetsOf(service).stream()
-                .filter(target -> !target.leaving() && !excluded.contains(target.name()))
+                .filter(target -> !target.leaving() && eligible.test(target))
                 .map(target -> new TargetLoad(target, inFlight.getOrDefault(target.name(), 0)))
                 .toList();
         RoutingDecision decision = selector.select(candidates, random)
@@ -54,6 +54,11 @@
         inFlight.merge(target.name(), 1, Integer::sum);
     }
 
+    /** Notes that the target failed an attempt; the end of the attempt is notified as well. */
+    public void attemptFailed(Target target) {
+        LOG.debugf("event=attempt_failed target=%s", target.name());
+    }
+
     /** Counts the end of an attempt. */
     public void attemptEnded(Target target) {
         inFlight.computeIfPresent(target.name(), (name, count) -> count > 1 ? count - 1 : null);
--- /dev/null
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/TokenText.java
@@ -0,0 +1,64 @@
+package io.fireflywalk.daemon.gateway;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import io.fireflywalk.platform.codec.Codec;
+import java.io.IOException;
+import java.util.Optional;
+
+/** Reads the generated text of a chunk of a streamed answer without building a tree. Stateless. */
+final class TokenText {
+    private TokenText() {}
+
+    /** Returns the text of the first choice; empty if the data is not a chunk. */
+    static Optional<String> read(String data) {
+        try (JsonParser parser = Codec.json().mapper().createParser(data)) {
+            if (parser.nextToken() != JsonToken.START_OBJECT) {
+                return Optional.empty();
+            }
+            Optional<String> text = Optional.empty();
+            while (parser.nextToken() == JsonToken.FIELD_NAME) {
+                boolean choices = parser.currentName().equals("choices");
+                if (parser.nextToken() == JsonToken.START_ARRAY && choices) {
+                    text = Optional.of(textOfChoices(parser));
+                } else {
+                    parser.skipChildren();
+                }
+            }
+            return text;
+        } catch (IOException exception) {
+            return Optional.empty();
+        }
+    }
+
+    private static String textOfChoices(JsonParser parser) throws IOException {
+        String text = "";
+        while (parser.nextToken() != JsonToken.END_ARRAY) {
+            while (parser.nextToken() == JsonToken.FIELD_NAME) {
+                String field = parser.currentName();
+                JsonToken value = parser.nextToken();
+                if (field.equals("text") && value == JsonToken.VALUE_STRING) {
+                    text = parser.getText();
+                } else if (field.equals("delta") && value == JsonToken.START_OBJECT) {
+                    text = contentOf(parser);
+                } else {
+                    parser.skipChildren();
+                }
+            }
+        }
+        return text;
+    }
+
+    private static String contentOf(JsonParser parser) throws IOException {
+        String content = "";
+        while (parser.nextToken() == JsonToken.FIELD_NAME) {
+            boolean isContent = parser.currentName().equals("content");
+            if (parser.nextToken() == JsonToken.VALUE_STRING && isContent) {
+                content = parser.getText();
+            } else {
+                parser.skipChildren();
+            }
+        }
+        return content;
+    }
+}
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/settings/DaemonSettings.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/settings/DaemonSettings.java
@@ -11,6 +11,7 @@
  * @param configuration polling and freshness of the configuration
  * @param limits bounds of what callers may send
  * @param targets connections to targets
+ * @param retries repeats of failed attempts
  * @param shutdown steps of a graceful shutdown
  * @param usage usage windows
  * @param operatorKeys hexadecimal SHA-256 digests of the operators' keys
@@ -22,6 +23,7 @@
         ConfigurationSettings configuration,
         Limits limits,
         TargetSettings targets,
+        RetrySettings retries,
         Shutdown shutdown,
         UsageSettings usage,
         List<String> operatorKeys) {
@@ -49,10 +51,66 @@
             int headerBytes,
             int requestLineBytes,
             int callerConnections,
-            long slowSenderMilliseconds) {}
+            long slowSenderMilliseconds,
+            long idleCallerMilliseconds,
+            int maximumTokens,
+            int repeatableBodyBytes) {}
 
-    /** Connections to targets. */
-    public record TargetSettings(long connectMilliseconds, long idlePooledMilliseconds) {}
+    /**
+     * Connections to targets and progress limits of their answers.
+     *
+     * @param connectMilliseconds limit of connecting, including the wait for a free connection
+     * @param idlePooledMilliseconds idle time after which a pooled connection is closed
+     * @param reuseIdleMilliseconds idle time beyond which a connection takes no non-idempotent request
+     * @param headMilliseconds limit of the wait for the head of a streamed answer
+     * @param wholeAnswerMilliseconds limit of the wait for the head of an answer that is not streamed
+     * @param firstByteMilliseconds limit between the head and the first byte of the body
+     * @param gapMilliseconds limit between two pieces of the body
+     * @param commentMilliseconds period of comments to a waiting caller of a stream
+     * @param answerBytes bound of an answer that is not streamed
+     * @param eventBytes bound of one server-sent event
+     * @param resumeCharacters bound of the generated text that is kept for a resume
+     */
+    public record TargetSettings(
+            long connectMilliseconds,
+            long idlePooledMilliseconds,
+            long reuseIdleMilliseconds,
+            long headMilliseconds,
+            long wholeAnswerMilliseconds,
+            long firstByteMilliseconds,
+            long gapMilliseconds,
+            long commentMilliseconds,
+            int answerBytes,
+            int eventBytes,
+            int resumeCharacters) {}
+
+    /**
+     * Repeats of failed attempts.
+     *
+     * @param maximumAttempts bound of the attempts of one request
+     * @param backoffMilliseconds bound of the first delay
+     * @param maximumBackoffMilliseconds largest bound of a delay
+     * @param budgetPerSuccess repeats that one success earns, per service and per client account
+     * @param budgetPerSecond repeats earned per second without a success
+     * @param budgetMaximum largest number of repeats in reserve
+     * @param breakerFailures consecutive failures that open the circuit breaker of a target
+     * @param breakerOpenMilliseconds time before an open breaker lets a probe through
+     * @param hedgeMilliseconds wait before the second attempt of a short idempotent request; 0 for none
+     * @param hedgeBodyBytes largest body of a short request
+     * @param hedgeTokens largest token bound of a short request
+     */
+    public record RetrySettings(
+            int maximumAttempts,
+            long backoffMilliseconds,
+            long maximumBackoffMilliseconds,
+            double budgetPerSuccess,
+            double budgetPerSecond,
+            double budgetMaximum,
+            int breakerFailures,
+            long breakerOpenMilliseconds,
+            long hedgeMilliseconds,
+            int hedgeBodyBytes,
+            int hedgeTokens) {}
 
     /** Steps of a graceful shutdown. */
     public record Shutdown(long balancerDelayMilliseconds, long drainLimitMilliseconds) {}
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/settings/SettingsLoader.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/settings/SettingsLoader.java
@@ -88,6 +88,18 @@
         requirePositive(settings.limits().slowSenderMilliseconds(), "limits.slowSenderMilliseconds", problems);
         requirePositive(settings.targets().connectMilliseconds(), "targets.connectMilliseconds", problems);
         requirePositive(settings.targets().idlePooledMilliseconds(), "targets.idlePooledMilliseconds", problems);
+        requirePositive(settings.limits().idleCallerMilliseconds(), "limits.idleCallerMilliseconds", problems);
+        requirePositive(settings.limits().maximumTokens(), "limits.maximumTokens", problems);
+        requirePositive(settings.targets().headMilliseconds(), "targets.headMilliseconds", problems);
+        requirePositive(settings.targets().wholeAnswerMilliseconds(), "targets.wholeAnswerMilliseconds", problems);
+        requirePositive(settings.targets().firstByteMilliseconds(), "targets.firstByteMilliseconds", problems);
+        requirePositive(settings.targets().gapMilliseconds(), "targets.gapMilliseconds", problems);
+        requirePositive(settings.targets().commentMilliseconds(), "targets.commentMilliseconds", problems);
+        requirePositive(settings.targets().answerBytes(), "targets.answerBytes", problems);
+        requirePositive(settings.targets().eventBytes(), "targets.eventBytes", problems);
+        requirePositive(settings.retries().maximumAttempts(), "retries.maximumAttempts", problems);
+        requirePositive(settings.retries().breakerFailures(), "retries.breakerFailures", problems);
+        requirePositive(settings.retries().breakerOpenMilliseconds(), "retries.breakerOpenMilliseconds", problems);
         requirePositive(settings.usage().windowMilliseconds(), "usage.windowMilliseconds", problems);
         requirePositive(settings.usage().flushMilliseconds(), "usage.flushMilliseconds", problems);
         if (!problems.isEmpty()) {
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/usage/UsageRecorder.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/usage/UsageRecorder.java
@@ -57,13 +57,14 @@
         subscription.ifPresent(Disposable::dispose);
     }
 
-    /** Counts one answer. */
-    public void record(String clientAccount, String service, long promptTokens, long generatedTokens) {
+    /** Counts one answer; the end of the answer is held back until the returned stream completes. */
+    public Completable record(String clientAccount, String service, long promptTokens, long generatedTokens) {
         long window = timers.wallClockMilliseconds() / windowMilliseconds;
         String key = window + "/" + incarnation + "/" + clientAccount + "/" + service;
         UsageRow added = new UsageRow(window, incarnation, clientAccount, service, 1, promptTokens, generatedTokens);
         rows.merge(key, added, UsageRow::plus);
         changedKeys.add(key);
+        return Completable.complete();
     }
 
     /** Writes the changed rows. */
