Test run states, stream joining and retry logic by properties

The property over event orders found that an attempt which a target had refused could begin to write again while its state still said REFUSED, so NOT_RUN would have been false. An attempt now writes at most once.

--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/request/RequestProgress.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/request/RequestProgress.java
@@ -53,9 +53,10 @@
         return state;
     }
 
-    /** Tells whether the attempt at the index may begin to write: it is open and has not been abandoned. */
+    /** Tells whether the attempt at the index may begin to write: it is open and has not written before. */
     public boolean maySend(int index, boolean idempotent) {
-        if (!attempts.get(index).open()) {
+        AttemptState attempt = attempts.get(index);
+        if (!attempt.open() || attempt.phase() != AttemptPhase.NOT_SENT) {
             return false;
         }
         return idempotent || othersProvablyNotRun(index);
