--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/CallerConnections.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/CallerConnections.java
@@ -20,6 +20,7 @@
     private final Limits limits;
     private final TimerService timers;
     private final Map<HttpConnection, Entry> entries = new HashMap<>();
+    private boolean draining;
 
     CallerConnections(Limits limits, TimerService timers) {
         this.limits = limits;
@@ -33,6 +34,9 @@
     }
 
     void opened(HttpConnection connection) {
+        connection.exceptionHandler(ignored -> {
+            // The default handler logs the cause, which may quote a request and with it a key.
+        });
         if (entries.size() >= limits.callerConnections() + MAXIMUM_REFUSED) {
             connection.close();
             return;
@@ -63,6 +67,12 @@
         }
     }
 
+    /** Closes connections without a request, and from now on each connection after its present request. */
+    void closeUnused() {
+        draining = true;
+        closeIdle();
+    }
+
     private void closeIdle() {
         long now = timers.monotonicNanoseconds();
         for (HttpConnection connection : List.copyOf(entries.keySet())) {
@@ -70,7 +80,7 @@
             long limitMilliseconds = entry.used ? limits.idleCallerMilliseconds() : limits.slowSenderMilliseconds();
             boolean idle = now - entry.lastActivity
                     >= Duration.ofMillis(limitMilliseconds).toNanos();
-            if (entry.openRequests == 0 && idle) {
+            if (entry.openRequests == 0 && (idle || draining)) {
                 connection.close();
             }
         }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/GatewayServer.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/GatewayServer.java
@@ -67,6 +67,7 @@
     /** Refuses new requests from now on. */
     public void refuseNewRequests() {
         draining = true;
+        connections.closeUnused();
     }
 
     /** Returns the number of requests whose answer has not ended. */
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/TargetConnections.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/TargetConnections.java
@@ -15,6 +15,7 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.WeakHashMap;
+import org.jboss.logging.Logger;
 
 /**
  * Pooled connections to targets. Retires idle ones and keeps non-idempotent requests off connections that were idle for
@@ -22,6 +23,7 @@
  * loop.
  */
 public final class TargetConnections {
+    private static final Logger LOG = Logger.getLogger(TargetConnections.class);
     private static final int CONNECTIONS_PER_TARGET = 1024;
     private static final int MAXIMUM_WAITING_REQUESTS = 4096;
     private static final int MAXIMUM_CLEANER_PERIOD_MILLISECONDS = 1000;
@@ -39,14 +41,21 @@
         this.reuseIdleNanoseconds =
                 Duration.ofMillis(settings.reuseIdleMilliseconds()).toNanos();
         int idleSeconds = (int) Math.max(1, settings.idlePooledMilliseconds() / MILLISECONDS_PER_SECOND);
-        this.client = vertx.createHttpClient(
-                new HttpClientOptions()
-                        .setConnectTimeout((int) settings.connectMilliseconds())
-                        .setKeepAliveTimeout(idleSeconds),
-                new PoolOptions()
-                        .setHttp1MaxSize(CONNECTIONS_PER_TARGET)
-                        .setMaxWaitQueueSize(MAXIMUM_WAITING_REQUESTS)
-                        .setCleanerPeriod(MAXIMUM_CLEANER_PERIOD_MILLISECONDS));
+        HttpClientOptions options = new HttpClientOptions()
+                .setConnectTimeout((int) settings.connectMilliseconds())
+                .setKeepAliveTimeout(idleSeconds);
+        PoolOptions pool = new PoolOptions()
+                .setHttp1MaxSize(CONNECTIONS_PER_TARGET)
+                .setMaxWaitQueueSize(MAXIMUM_WAITING_REQUESTS)
+                .setCleanerPeriod(MAXIMUM_CLEANER_PERIOD_MILLISECONDS);
+        this.client = vertx.httpClientBuilder()
+                .with(options)
+                .with(pool)
+                .withConnectHandler(connection -> connection.exceptionHandler(
+                        // The attempt on the connection reports the failure; without a handler it is logged as an
+                        // error.
+                        cause -> LOG.debugf("event=target_connection_failed cause=\"%s\"", cause)))
+                .build();
     }
 
     /** Connects. Nothing is sent before the returned request is written to. */
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/gateway/ModelFaultContractTest.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/gateway/ModelFaultContractTest.java
@@ -170,15 +170,21 @@
         };
         try (FaultServer only = new FaultServer(log, fast);
                 GatewayFixture gateway = GatewayFixture.start("", only.port());
-                Socket caller = new Socket()) {
-            caller.setReceiveBufferSize(4096);
-            caller.connect(new java.net.InetSocketAddress(InetAddress.getLoopbackAddress(), gateway.callerPort()));
-            caller.getOutputStream().write(GatewayFixture.completion(STREAM).getBytes(StandardCharsets.UTF_8));
-            Thread.sleep(1000);
-            assertTrue(sent.get() < tokens, "the engine was not slowed down");
+                Socket caller = new Socket(InetAddress.getLoopbackAddress(), gateway.callerPort())) {
+            String request =
+                    GatewayFixture.completion(STREAM).replace("host: ", "x-fireflywalk-deadline-ms: 60000\r\nhost: ");
+            caller.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+            int before = -1;
+            while (sent.get() != before) {
+                before = sent.get();
+                // Longer than the limit between two pieces of an answer.
+                Thread.sleep(600);
+            }
+            assertTrue(before > 0 && before < tokens, "the engine was not slowed down");
             caller.setSoTimeout(1000);
             String answer = GatewayFixture.readAll(caller);
-            assertTrue(answer.contains("id: " + (tokens - 1) + "\n") && answer.contains("data: [DONE]"));
+            String tail = answer.substring(Math.max(0, answer.length() - 500));
+            assertTrue(tail.contains("id: " + (tokens - 1) + "\n") && tail.contains("data: [DONE]"), tail);
             assertEquals(1, log.requests.size());
         }
     }
--- a/fireflywalk-standin/src/main/java/io/fireflywalk/standin/ModelEngineServer.java
+++ b/fireflywalk-standin/src/main/java/io/fireflywalk/standin/ModelEngineServer.java
@@ -94,6 +94,10 @@
             int first = Optional.ofNullable(request.getHeader("last-event-id"))
                     .map(last -> Integer.parseInt(last) + 1)
                     .orElse(0);
+            if (!resumeMatches(document, first)) {
+                replyJson(request.response(), 400, new JsonObject().put("error", "resume text does not match"));
+                return;
+            }
             stream(request.response(), generation, first);
         } else {
             long delay = Math.max(1, tokenMilliseconds * generation.maximumTokens());
@@ -105,6 +109,15 @@
         }
     }
 
+    private static boolean resumeMatches(JsonObject document, int first) {
+        StringBuilder expected = new StringBuilder();
+        for (int index = 0; index < first; index++) {
+            expected.append(tokenText(index));
+        }
+        String generated = document.getJsonObject("resume", new JsonObject()).getString("generated_text", "");
+        return generated.contentEquals(expected);
+    }
+
     private void stream(HttpServerResponse response, Generation generation, int firstIndex) {
         response.setChunked(true).putHeader("content-type", "text/event-stream");
         response.writeHead();
--- a/fireflywalk-standin/src/main/java/io/fireflywalk/standin/PlainServiceServer.java
+++ b/fireflywalk-standin/src/main/java/io/fireflywalk/standin/PlainServiceServer.java
@@ -10,10 +10,18 @@
 
 /** Plain service that answers with what it received and counts its executions. Runs on one event loop. */
 public final class PlainServiceServer {
+    private final Vertx vertx;
     private final HttpServer server;
+    private final long answerMilliseconds;
     private int executions;
 
     public PlainServiceServer(Vertx vertx) {
+        this(vertx, 0);
+    }
+
+    public PlainServiceServer(Vertx vertx, long answerMilliseconds) {
+        this.vertx = vertx;
+        this.answerMilliseconds = answerMilliseconds;
         this.server = vertx.createHttpServer().requestHandler(this::handle);
     }
 
@@ -36,6 +44,11 @@
                 .put("headerNames", headerNames)
                 .put("body", body.toString())
                 .put("execution", executions);
-        request.response().putHeader("content-type", "application/json").end(answer.encode());
+        request.response().putHeader("content-type", "application/json");
+        if (answerMilliseconds == 0) {
+            request.response().end(answer.encode());
+        } else {
+            vertx.setTimer(answerMilliseconds, ignored -> request.response().end(answer.encode()));
+        }
     }
 }
--- a/fireflywalk-standin/src/main/java/io/fireflywalk/standin/StandinMain.java
+++ b/fireflywalk-standin/src/main/java/io/fireflywalk/standin/StandinMain.java
@@ -34,11 +34,17 @@
         long tokenMilliseconds = 5;
     }
 
+    /** Options of the plain service. */
+    static final class PlainOptions extends ListenOptions {
+        @Parameter(names = "--answer-milliseconds", description = "Time to answer, in milliseconds")
+        long answerMilliseconds = 0;
+    }
+
     /** Starts the stand-in that the arguments name. */
     public static void main(String[] arguments) {
         ListenOptions table = new ListenOptions();
         EngineOptions engine = new EngineOptions();
-        ListenOptions plain = new ListenOptions();
+        PlainOptions plain = new PlainOptions();
         JCommander commander = JCommander.newBuilder()
                 .programName("fireflywalk-standin")
                 .addCommand("table-service", table)
@@ -65,7 +71,7 @@
                     case "model-engine" ->
                         new ModelEngineServer(vertx, engine.model, engine.modelVersion, engine.tokenMilliseconds)
                                 .listen(engine.host, engine.port);
-                    default -> new PlainServiceServer(vertx).listen(plain.host, plain.port);
+                    default -> new PlainServiceServer(vertx, plain.answerMilliseconds).listen(plain.host, plain.port);
                 };
         port.onSuccess(bound -> System.out.println("listening on port " + bound))
                 .onFailure(cause -> {
