Cut off callers that take nothing, and bound per-stream buffers

A caller that stopped reading kept its request open after the deadline: the error event and the end of the answer waited behind data that never left, so the request counted as in flight and would have held a shutdown to its limit. The end of each answer is now watched, and a full write queue at the deadline closes the connection at once. Vert.x's orderly close was ruled out, because it waits for the pending writes.

Builders and line buffers that grew with a large piece are not kept for the rest of a slow stream.

--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/request/EventStreamParser.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/request/EventStreamParser.java
@@ -11,6 +11,8 @@
  */
 public final class EventStreamParser {
     private static final int INITIAL_LINE_BYTES = 256;
+    /** A line buffer that grew beyond this is not kept for the rest of the stream. */
+    private static final int MAXIMUM_KEPT_LINE_BYTES = 4096;
 
     private final int maximumEventBytes;
     private final Consumer<StreamEvent> events;
@@ -83,6 +85,9 @@
     private void endEvent() {
         Optional<StreamEvent> event = data.map(text -> new StreamEvent(id, name, text.toString()));
         eventBytes = 0;
+        if (line.length > MAXIMUM_KEPT_LINE_BYTES) {
+            line = new byte[INITIAL_LINE_BYTES];
+        }
         id = Optional.empty();
         name = "";
         data = Optional.empty();
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/request/TokenStreamJoiner.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/request/TokenStreamJoiner.java
@@ -20,7 +20,7 @@
     private final int maximumHeldEvents;
     private final StringBuilder generatedText = new StringBuilder();
     private final List<StreamEvent> held = new ArrayList<>();
-    private final StringBuilder output = new StringBuilder();
+    private StringBuilder output = new StringBuilder();
     private EventStreamParser parser;
     private long nextIndex;
     private boolean resumed;
@@ -41,7 +41,6 @@
     public void startAttempt() {
         parser = new EventStreamParser(maximumEventBytes, this::take);
         held.clear();
-        output.setLength(0);
         fault = Optional.empty();
         resumed = nextIndex > 0;
     }
@@ -51,7 +50,8 @@
      * not part of it: the caller of this method writes {@link #ending()} once it may end the answer.
      */
     public String accept(byte[] bytes) {
-        output.setLength(0);
+        // A new builder, because one that grew with a large piece would stay large for the rest of a slow stream.
+        output = new StringBuilder();
         if (fault.isEmpty() && !complete && !parser.accept(bytes)) {
             fault = Optional.of("an event exceeds its bound");
         }
--- a/fireflywalk-core/src/test/java/io/fireflywalk/core/request/RunStateProperties.java
+++ b/fireflywalk-core/src/test/java/io/fireflywalk/core/request/RunStateProperties.java
@@ -50,7 +50,7 @@
     }
 
     @Property
-    void notRunIsNeverSaidOnceATargetMayHaveTheRequest(
+    void notRunIsNeverSaidOnceTargetMayHaveTheRequest(
             @ForAll boolean idempotent, @ForAll @Size(max = 6) List<FailurePoint> points) {
         RequestProgress progress = RequestProgress.initial();
         int possibleRuns = 0;
@@ -81,7 +81,7 @@
     }
 
     @Property
-    void eventsInAnyOrderNeverLetTwoOpenAttemptsOfANonIdempotentRequestSend(
+    void eventsInAnyOrderNeverLetTwoOpenAttemptsOfNonIdempotentRequestSend(
             @ForAll @Size(max = 40) List<AttemptEvent> events, @ForAll long attemptBits) {
         RequestProgress progress = RequestProgress.initial().attemptStarted().attemptStarted();
         boolean[] mayHaveRun = new boolean[2];
--- a/fireflywalk-core/src/test/java/io/fireflywalk/core/request/TokenStreamJoinerProperties.java
+++ b/fireflywalk-core/src/test/java/io/fireflywalk/core/request/TokenStreamJoinerProperties.java
@@ -82,7 +82,7 @@
     }
 
     @Example
-    void anEventBeyondItsBoundIsAFault() {
+    void anEventBeyondItsBoundIsFault() {
         TokenStreamJoiner joiner = joiner(10);
         joiner.startAttempt();
         joiner.accept(bytes("data: " + "x".repeat(2000)));
--- a/fireflywalk-core/src/test/java/io/fireflywalk/core/retry/RetryProperties.java
+++ b/fireflywalk-core/src/test/java/io/fireflywalk/core/retry/RetryProperties.java
@@ -66,7 +66,7 @@
     }
 
     @Example
-    void aBreakerClosesAfterASuccessfulProbeAndFreesAnAbandonedOne() {
+    void aBreakerClosesAfterSuccessfulProbeAndFreesAnAbandonedOne() {
         CircuitBreaker open = new CircuitBreaker(BREAKER, CircuitBreaker.State.OPEN, 3, 0);
         CircuitBreaker probing = open.started(SECOND);
         assertFalse(probing.allows(SECOND + 1));
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/ErrorResponder.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/ErrorResponder.java
@@ -68,7 +68,8 @@
                                 .put("request_id", requestId));
     }
 
-    private static void log(String requestId, FireflywalkException exception) {
+    /** Logs the error at the level of its kind. */
+    static void log(String requestId, FireflywalkException exception) {
         LOG.logf(
                 level(exception.kind().logLevel()),
                 exception.kind() == ErrorKind.INTERNAL ? exception : null,
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/GatewayServer.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/GatewayServer.java
@@ -17,6 +17,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
+import java.time.Duration;
 import java.util.Optional;
 import java.util.UUID;
 
@@ -86,15 +87,12 @@
         requestsInFlight++;
         HttpConnection connection = request.connection();
         boolean withinLimit = connections.requestBegan(connection);
-        boolean[] counted = {true};
-        Runnable ended = () -> {
-            if (counted[0]) {
-                counted[0] = false;
-                requestsInFlight--;
-                connections.requestEnded(connection);
-            }
-        };
-        request.response().closeHandler(ignored -> ended.run());
+        Duration lastWriteLimit = Duration.ofMillis(context.settings().limits().idleCallerMilliseconds());
+        ResponseEnd ended = new ResponseEnd(context.timers(), lastWriteLimit, connection, () -> {
+            requestsInFlight--;
+            connections.requestEnded(connection);
+        });
+        request.response().closeHandler(ignored -> ended.ended());
         Optional<String> presentedKey = KeyAuthenticator.presentedKey(request.headers());
         RequestScope scope =
                 new RequestScope(requestId, request, context.snapshots().get(), "", presentedKey, ended);
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/ModelRequestHandler.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/ModelRequestHandler.java
@@ -22,7 +22,7 @@
                 context, scope.request(), context.settings().limits().bodyBytes());
         scope.response().closeHandler(ignored -> {
             collector.release();
-            scope.ended().run();
+            scope.ended().ended();
         });
         collector
                 .collect()
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/PlainRequestHandler.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/PlainRequestHandler.java
@@ -18,6 +18,7 @@
      * refused request can go to another target and a slow sender occupies none; a large one is streamed.
      */
     public void handle(RequestScope scope, RoutedService routed) throws FireflywalkException {
+        long receivedNanoseconds = context.timers().monotonicNanoseconds();
         long length = CallerInput.declaredLength(scope.request());
         int maximumBytes = context.settings().limits().bodyBytes();
         if (length > maximumBytes) {
@@ -36,11 +37,16 @@
         BodyCollector collector = new BodyCollector(context, scope.request(), collectedBytes);
         scope.response().closeHandler(ignored -> {
             collector.release();
-            scope.ended().run();
+            scope.ended().ended();
         });
         collector
                 .collect()
-                .onSuccess(body -> new PlainCall(context, scope, routed, uri, deadline)
+                .onSuccess(body -> new PlainCall(
+                                context,
+                                scope,
+                                routed,
+                                uri,
+                                deadline.minusNanos(context.timers().monotonicNanoseconds() - receivedNanoseconds))
                         .withBody(body, collector)
                         .begin())
                 .onFailure(cause -> {
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/RequestScope.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/RequestScope.java
@@ -2,7 +2,6 @@
 
 import io.fireflywalk.core.configuration.ConfigurationSnapshot;
 import io.fireflywalk.core.error.FireflywalkException;
-import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
@@ -16,7 +15,7 @@
  * @param snapshot configuration at arrival
  * @param clientAccount account of the key; empty text on routes open to all
  * @param presentedKey key that the request carried, which no target may see
- * @param ended called once the last byte of the answer has been handed to the operating system
+ * @param ended watch of the end of the answer
  */
 public record RequestScope(
         String requestId,
@@ -24,7 +23,7 @@
         ConfigurationSnapshot snapshot,
         String clientAccount,
         Optional<String> presentedKey,
-        Runnable ended) {
+        ResponseEnd ended) {
 
     /** Returns the same request with the account of its key. */
     RequestScope withAccount(String account) {
@@ -38,12 +37,12 @@
 
     /** Ends the answer with its last bytes. */
     public void end(Buffer lastBytes) {
-        whenWritten(response().end(lastBytes));
+        ended.watch(response().end(lastBytes));
     }
 
     /** Ends the answer. */
     public void end() {
-        whenWritten(response().end());
+        ended.watch(response().end());
     }
 
     /** Ends the answer with an error. */
@@ -52,11 +51,14 @@
             // The rest of the body is read and dropped; closing at once could destroy the error on its way.
             request.resume();
         }
-        whenWritten(ErrorResponder.respond(response(), requestId, exception));
-    }
-
-    private void whenWritten(Future<Void> written) {
-        written.onComplete(ignored -> ended.run());
+        if (response().headWritten() && response().writeQueueFull()) {
+            // The caller takes nothing, so an error event would not leave either.
+            ErrorResponder.log(requestId, exception);
+            ended.abort();
+            ended.ended();
+            return;
+        }
+        ended.watch(ErrorResponder.respond(response(), requestId, exception));
     }
 
     /** Leaves the key out, so that the record can be part of a message. */
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/TargetCall.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/TargetCall.java
@@ -303,7 +303,7 @@
     private void callerLeft() {
         abandonAttempts();
         if (finish("caller_left")) {
-            scope.ended().run();
+            scope.ended().ended();
         }
     }
 
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/endtoend/FailureUnderLoadTest.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/endtoend/FailureUnderLoadTest.java
@@ -46,7 +46,7 @@
 
     @ParameterizedTest
     @ValueSource(strings = {"KILL", "STOP"})
-    void streamsOfALostEngineAreResumedWithoutGapOrRepeat(String signal) throws Exception {
+    void streamsOfLostEngineAreResumedWithoutGapOrRepeat(String signal) throws Exception {
         List<Future<HttpResponse<String>>> streams = startStreams();
         awaitRunning(0);
         Thread.sleep(500);
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/gateway/ModelFaultContractTest.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/gateway/ModelFaultContractTest.java
@@ -78,7 +78,7 @@
 
     @ParameterizedTest
     @EnumSource
-    void aStreamThatCannotBeResumedEndsWithAnErrorAndAClosedConnection(ScriptedEngine.StreamFault fault)
+    void aStreamThatCannotBeResumedEndsWithAnErrorAndClosedConnection(ScriptedEngine.StreamFault fault)
             throws Exception {
         FaultServer.Behaviour always = (number, request, connection) -> number == 1
                 ? ScriptedEngine.faulty(fault, request, connection)
@@ -94,7 +94,7 @@
     }
 
     @Test
-    void theAttemptsOfARequestAreBounded() throws Exception {
+    void theAttemptsOfRequestAreBounded() throws Exception {
         FaultServer.Behaviour never =
                 (number, request, connection) -> TargetFault.RESET_AFTER_REQUEST.serve(request, connection);
         try (FaultServer first = new FaultServer(log, never);
@@ -154,7 +154,7 @@
     }
 
     @Test
-    void aSlowReaderGetsTheWholeStreamAndIsNotTakenForASilentEngine() throws Exception {
+    void aSlowReaderGetsTheWholeStreamAndIsNotTakenForSilentEngine() throws Exception {
         // More than the sockets' buffers hold.
         int tokens = 300_000;
         AtomicInteger sent = new AtomicInteger();
@@ -189,6 +189,47 @@
         }
     }
 
+    @Test
+    void aCallerThatTakesNothingIsCutOffAtItsDeadline() throws Exception {
+        FaultServer.Behaviour endless = (number, request, connection) -> {
+            ScriptedEngine.head(request, connection);
+            for (int index = 0; index < 1_000_000; index++) {
+                connection.chunk(ScriptedEngine.token(index));
+            }
+            return false;
+        };
+        try (FaultServer only = new FaultServer(log, endless);
+                GatewayFixture gateway = GatewayFixture.start("", only.port());
+                Socket caller = new Socket(InetAddress.getLoopbackAddress(), gateway.callerPort())) {
+            caller.getOutputStream().write(GatewayFixture.completion(STREAM).getBytes(StandardCharsets.UTF_8));
+            await(() -> inFlight(gateway) == 1);
+            // The default deadline of the service is 5 s.
+            for (int check = 0; check < 800 && inFlight(gateway) > 0; check++) {
+                Thread.sleep(10);
+            }
+            assertEquals(0, inFlight(gateway));
+        }
+    }
+
+    @Test
+    void lateSecondAnswersReachNoOtherCaller() throws Exception {
+        FaultServer.Behaviour twice = (number, request, connection) -> {
+            ScriptedEngine.good(request, connection);
+            Thread.sleep(number % 3 * 10L);
+            return ScriptedEngine.good(request, connection);
+        };
+        try (FaultServer first = new FaultServer(log, twice);
+                FaultServer second = new FaultServer(log, twice);
+                GatewayFixture gateway = GatewayFixture.start("", first.port(), second.port())) {
+            for (int request = 0; request < 20; request++) {
+                assertEquals(
+                        ScriptedEngine.unbrokenStream(),
+                        withoutComments(gateway.post(PATH, STREAM).body()));
+                assertEquals(ScriptedEngine.WHOLE, gateway.post(PATH, WHOLE).body());
+            }
+        }
+    }
+
     @Test
     void aSilentShortRequestIsHedgedWithinTheBudget() throws Exception {
         try (FaultServer first = failingOnce(TargetFault.STALL_BEFORE_HEAD);
@@ -222,6 +263,19 @@
         return body.replace(": waiting\n\n", "");
     }
 
+    private static int inFlight(GatewayFixture gateway) {
+        try {
+            String metrics = gateway.metrics().body();
+            String marker = "fireflywalk_requests_in_flight ";
+            return Integer.parseInt(metrics.substring(metrics.indexOf(marker) + marker.length())
+                    .lines()
+                    .findFirst()
+                    .orElse("-1"));
+        } catch (IOException | InterruptedException exception) {
+            throw new IllegalStateException(exception);
+        }
+    }
+
     private static void await(java.util.function.BooleanSupplier condition) throws InterruptedException {
         for (int check = 0; check < 300 && !condition.getAsBoolean(); check++) {
             Thread.sleep(10);
