--- a/fireflywalk-standin/src/main/java/io/fireflywalk/standin/StandinMain.java
+++ b/fireflywalk-standin/src/main/java/io/fireflywalk/standin/StandinMain.java
@@ -53,11 +53,17 @@
         long instanceLagMilliseconds = 1000;
     }
 
+    /** Options of the plain service. */
+    static final class PlainOptions extends ListenOptions {
+        @Parameter(names = "--answer-milliseconds", description = "Time to answer, in milliseconds")
+        long answerMilliseconds = 0;
+    }
+
     /** Starts the stand-in that the arguments name. */
     public static void main(String[] arguments) {
         ListenOptions table = new ListenOptions();
         EngineOptions engine = new EngineOptions();
-        ListenOptions plain = new ListenOptions();
+        PlainOptions plain = new PlainOptions();
         PlatformOptions platform = new PlatformOptions();
         JCommander commander = JCommander.newBuilder()
                 .programName("fireflywalk-standin")
@@ -94,7 +100,7 @@
                                         new PlatformLedger(milliseconds(platform.instanceLagMilliseconds), true),
                                         timers)
                                 .listen(platform.host, platform.port);
-                    default -> new PlainServiceServer(vertx).listen(plain.host, plain.port);
+                    default -> new PlainServiceServer(vertx, plain.answerMilliseconds).listen(plain.host, plain.port);
                 };
         port.onSuccess(bound -> System.out.println("listening on port " + bound))
                 .onFailure(cause -> {
