Resolve unknown outcomes of the table service by markers

A lost response left the caller with a guess. ResolvingTableService repeats a transaction under its own identifier, which the service lets take effect at most once, and settles the rest by a cancellation marker under that identifier. A conflict of a repetition is not taken at its word: the first attempt may still be on its way, so the marker decides.

Ruled out: a retry under a new identifier, because a delayed first attempt could add a second effect; time stamps in markers, because their age would need comparable clocks. MarkerCollector measures the age on its own monotonic clock.

The stand-in server no longer blocks its event loop while a call is delayed.

--- a/fireflywalk-platform/src/main/java/io/fireflywalk/platform/table/InMemoryTableService.java
+++ b/fireflywalk-platform/src/main/java/io/fireflywalk/platform/table/InMemoryTableService.java
@@ -10,8 +10,6 @@
 
 /** Table service in memory, for tests, the demo command and the stand-in process. Thread-safe. */
 public final class InMemoryTableService implements TableService {
-    private static final String MARKER_TABLE = "transaction";
-
     private final Map<String, NavigableMap<String, Row>> tables = new TreeMap<>();
 
     @Override
@@ -30,7 +28,7 @@
     }
 
     private synchronized TransactionResult executeNow(Transaction transaction) {
-        RowCondition unused = new RowCondition(MARKER_TABLE, transaction.id(), 0);
+        RowCondition unused = new RowCondition(TransactionMarker.TABLE, transaction.id(), 0);
         if (!holds(unused)) {
             return TransactionResult.conflict(List.of(unused));
         }
@@ -40,7 +38,8 @@
         if (!failed.isEmpty()) {
             return TransactionResult.conflict(failed);
         }
-        apply(new RowWrite(MARKER_TABLE, transaction.id(), Optional.of("committed")));
+        apply(new RowWrite(
+                TransactionMarker.TABLE, transaction.id(), Optional.of(TransactionMarker.COMMITTED.value())));
         transaction.writes().forEach(this::apply);
         return TransactionResult.success();
     }
--- /dev/null
+++ b/fireflywalk-platform/src/main/java/io/fireflywalk/platform/table/MarkerCollector.java
@@ -0,0 +1,87 @@
+package io.fireflywalk.platform.table;
+
+import io.fireflywalk.platform.time.TimerService;
+import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Single;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.UUID;
+
+/**
+ * Removes marker rows that this collector has seen for longer than the retention on its own monotonic clock, so rows
+ * need no time stamps. The retention must exceed the longest time for which the platform may still execute a request
+ * whose sender has given up; a marker removed earlier would let a delayed transaction take effect a second time. One
+ * sweep per call; the caller schedules sweeps. Confined to one event loop.
+ */
+public final class MarkerCollector {
+    private static final int PAGE_ROWS = 500;
+    private static final int ROWS_PER_TRANSACTION = 250;
+
+    private final TableService tables;
+    private final TimerService timers;
+    private final Duration retention;
+    private final int maximumTrackedRows;
+    private final Map<String, Long> firstSeen = new LinkedHashMap<>();
+
+    public MarkerCollector(TableService tables, TimerService timers, Duration retention, int maximumTrackedRows) {
+        this.tables = tables;
+        this.timers = timers;
+        this.retention = retention;
+        this.maximumTrackedRows = maximumTrackedRows;
+    }
+
+    /** Scans the markers once and emits how many old ones were removed; rows beyond the bound wait for later sweeps. */
+    public Single<Integer> sweep() {
+        return scan("", new HashSet<>()).flatMap(present -> {
+            firstSeen.keySet().retainAll(present);
+            List<String> expired = new ArrayList<>();
+            long now = timers.monotonicNanoseconds();
+            firstSeen.forEach((key, seen) -> {
+                if (now - seen >= retention.toNanos()) {
+                    expired.add(key);
+                }
+            });
+            return remove(expired).toSingleDefault(expired.size());
+        });
+    }
+
+    /** Returns the number of rows whose age is tracked. */
+    public int trackedRows() {
+        return firstSeen.size();
+    }
+
+    private Single<Set<String>> scan(String after, Set<String> present) {
+        return tables.scan(TransactionMarker.TABLE, "", after, PAGE_ROWS)
+                .observeOn(timers.scheduler())
+                .flatMap(rows -> {
+                    long now = timers.monotonicNanoseconds();
+                    for (Row row : rows) {
+                        if (firstSeen.containsKey(row.key()) || firstSeen.size() < maximumTrackedRows) {
+                            firstSeen.putIfAbsent(row.key(), now);
+                            present.add(row.key());
+                        }
+                    }
+                    boolean more = rows.size() == PAGE_ROWS && present.size() < maximumTrackedRows;
+                    return more ? scan(rows.get(rows.size() - 1).key(), present) : Single.just(present);
+                });
+    }
+
+    private Completable remove(List<String> keys) {
+        List<Completable> transactions = new ArrayList<>();
+        for (int start = 0; start < keys.size(); start += ROWS_PER_TRANSACTION) {
+            List<String> batch = keys.subList(start, Math.min(keys.size(), start + ROWS_PER_TRANSACTION));
+            Transaction.Builder removal = Transaction.builder(UUID.randomUUID().toString());
+            batch.forEach(key -> removal.remove(TransactionMarker.TABLE, key));
+            transactions.add(tables.execute(removal.build())
+                    .observeOn(timers.scheduler())
+                    .doOnSuccess(result -> batch.forEach(firstSeen::remove))
+                    .ignoreElement());
+        }
+        return Completable.concat(transactions);
+    }
+}
--- a/fireflywalk-standin/src/main/java/io/fireflywalk/standin/TableServiceServer.java
+++ b/fireflywalk-standin/src/main/java/io/fireflywalk/standin/TableServiceServer.java
@@ -2,10 +2,11 @@
 
 import io.fireflywalk.core.error.FireflywalkException;
 import io.fireflywalk.platform.codec.Codec;
-import io.fireflywalk.platform.table.Row;
 import io.fireflywalk.platform.table.TableService;
 import io.fireflywalk.platform.table.Transaction;
-import io.fireflywalk.platform.table.TransactionResult;
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.disposables.Disposable;
+import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -14,7 +15,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
-import java.util.Optional;
+import java.util.function.Consumer;
 
 /** Table service over HTTP with JSON in front of an in-memory table. Runs on one event loop. */
 public final class TableServiceServer {
@@ -52,29 +53,44 @@
             request.response().setStatusCode(400).end(exception.getMessage());
             return;
         }
-        TransactionResult result = tables.execute(transaction).blockingGet();
-        reply(request, result.committed() ? 200 : 409, Codec.json().write(result));
+        answer(
+                request,
+                tables.execute(transaction),
+                result -> reply(
+                        request, result.committed() ? 200 : 409, Codec.json().write(result)));
     }
 
     private void read(HttpServerRequest request, String path) {
         int slash = path.indexOf('/');
         if (slash < 0) {
             int limit = Integer.parseInt(request.getParam("limit", Integer.toString(DEFAULT_LIMIT)));
-            var rows = tables.scan(decode(path), request.getParam("prefix", ""), request.getParam("after", ""), limit)
-                    .blockingGet();
-            reply(request, 200, Codec.json().write(rows));
+            answer(
+                    request,
+                    tables.scan(decode(path), request.getParam("prefix", ""), request.getParam("after", ""), limit),
+                    rows -> reply(request, 200, Codec.json().write(rows)));
             return;
         }
-        Optional<Row> row = tables.read(decode(path.substring(0, slash)), decode(path.substring(slash + 1)))
-                .blockingGet();
-        if (row.isPresent()) {
-            reply(request, 200, Codec.json().write(row.get()));
-        } else {
-            reply(request, 404, "{}");
-        }
+        answer(
+                request,
+                tables.read(decode(path.substring(0, slash)), decode(path.substring(slash + 1))),
+                row -> reply(
+                        request,
+                        row.isPresent() ? 200 : 404,
+                        row.map(Codec.json()::write).orElse("{}")));
+    }
+
+    /** Answers when the operation ends, on the event loop of the request; a lost response leaves the call open. */
+    private static <T> void answer(HttpServerRequest request, Single<T> operation, Consumer<T> onValue) {
+        Context context = Vertx.currentContext();
+        Disposable unused = operation.subscribe(
+                value -> context.runOnContext(ignored -> onValue.accept(value)),
+                cause -> context.runOnContext(ignored -> reply(request, 503, "{}")));
     }
 
     private static void reply(HttpServerRequest request, int status, String body) {
+        if (request.response().closed()) {
+            return;
+        }
         request.response()
                 .setStatusCode(status)
                 .putHeader("content-type", "application/json")
--- /dev/null
+++ b/fireflywalk-standin/src/test/java/io/fireflywalk/standin/ResolvingTableServiceProperties.java
@@ -0,0 +1,90 @@
+package io.fireflywalk.standin;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.fireflywalk.core.error.ErrorKind;
+import io.fireflywalk.core.error.FireflywalkException;
+import io.fireflywalk.platform.table.InMemoryTableService;
+import io.fireflywalk.platform.table.MarkerCollector;
+import io.fireflywalk.platform.table.ResolvingTableService;
+import io.fireflywalk.platform.table.Row;
+import io.fireflywalk.platform.table.TableMeters;
+import io.fireflywalk.platform.table.TableRetryPolicy;
+import io.fireflywalk.platform.table.Transaction;
+import io.fireflywalk.platform.table.TransactionMarker;
+import io.fireflywalk.platform.time.SchedulerTimerService;
+import io.reactivex.rxjava3.schedulers.TestScheduler;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+/** Guards against lost or doubled effects under random faults, and against markers that stay or go too early. */
+class ResolvingTableServiceProperties {
+
+    @Property(tries = 300)
+    void everyDefiniteOutcomeMatchesTheRow(@ForAll long seed) {
+        TestScheduler scheduler = new TestScheduler();
+        SchedulerTimerService timers = new SchedulerTimerService(scheduler);
+        InMemoryTableService memory = new InMemoryTableService();
+        FaultyTableService faulty =
+                new FaultyTableService(memory, timers, Duration.ofMillis(900)).failRandomly(seed, 0.5);
+        ResolvingTableService resolving = new ResolvingTableService(
+                faulty, timers, TableRetryPolicy.within(Duration.ofSeconds(2)), () -> 0.5, new TableMeters(timers));
+        for (int number = 1; number <= 10; number++) {
+            String key = "key-" + number;
+            var outcome = resolving
+                    .execute(Transaction.builder("id-" + number)
+                            .put("table", key, "value")
+                            .build())
+                    .test();
+            scheduler.advanceTimeBy(30, TimeUnit.SECONDS);
+            long version =
+                    memory.read("table", key).blockingGet().map(Row::version).orElse(0L);
+            if (outcome.values().isEmpty()) {
+                outcome.assertError(cause -> cause instanceof FireflywalkException known
+                        && (known.kind() == ErrorKind.STORE_OUTCOME_UNKNOWN
+                                ? version <= 1
+                                : known.kind() == ErrorKind.STORE_UNAVAILABLE && version == 0));
+            } else {
+                assertTrue(outcome.values().get(0).committed());
+                assertEquals(1, version, "effects of a committed transaction");
+            }
+        }
+    }
+
+    @Example
+    void markersAreRemovedOnlyAfterTheRetentionAndWithinTheBound() {
+        TestScheduler scheduler = new TestScheduler();
+        SchedulerTimerService timers = new SchedulerTimerService(scheduler);
+        InMemoryTableService memory = new InMemoryTableService();
+        MarkerCollector collector = new MarkerCollector(memory, timers, Duration.ofMinutes(2), 1_000);
+        for (int number = 0; number < 1_500; number++) {
+            var unused = memory.execute(Transaction.builder(String.format("id-%05d", number))
+                            .build())
+                    .blockingGet();
+        }
+        assertEquals(0, sweep(collector, scheduler));
+        assertEquals(1_000, collector.trackedRows());
+        scheduler.advanceTimeBy(119, TimeUnit.SECONDS);
+        assertEquals(0, sweep(collector, scheduler));
+        scheduler.advanceTimeBy(1, TimeUnit.SECONDS);
+        assertEquals(1_000, sweep(collector, scheduler));
+        sweep(collector, scheduler);
+        scheduler.advanceTimeBy(2, TimeUnit.MINUTES);
+        sweep(collector, scheduler);
+        int left = memory.scan(TransactionMarker.TABLE, "", "", 5_000)
+                .blockingGet()
+                .size();
+        assertTrue(left < 20, "markers left: " + left);
+    }
+
+    private static int sweep(MarkerCollector collector, TestScheduler scheduler) {
+        var sweep = collector.sweep().test();
+        scheduler.triggerActions();
+        scheduler.triggerActions();
+        return sweep.assertComplete().values().get(0);
+    }
+}
