Make the instances one system over the table service

Each run of the daemon registers, joins the members in the configuration log, exchanges heartbeats in rounds and digests with random neighbours, and refuses keyed routes with CONFIGURATION_STALE once neither store nor peers vouch for its configuration. A change is acknowledged only when no instance can serve an older version. An operator's change is conditional on its base; membership changes in between are no conflict, any other one is shown to the loser.

--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/error/ErrorKind.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/error/ErrorKind.java
@@ -36,6 +36,8 @@
     CONFIGURATION_STALE(503, true, RunState.NOT_RUN, LogLevel.WARN, "The instance is cut off from store and peers."),
     STORE_UNAVAILABLE(503, true, RunState.NOT_RUN, LogLevel.WARN, "The table service does not answer."),
     STORE_OUTCOME_UNKNOWN(503, true, RunState.UNKNOWN, LogLevel.WARN, "A transaction's outcome is not known yet."),
+    ACKNOWLEDGEMENT_PENDING(
+            504, false, RunState.UNKNOWN, LogLevel.WARN, "The change is durable; some instances may not hold it yet."),
     AUTHORITY_LOST(503, true, RunState.NOT_RUN, LogLevel.WARN, "The process no longer holds the lease."),
     DEADLINE_UNREACHABLE(503, true, RunState.NOT_RUN, LogLevel.INFO, "The fleet cannot meet the deadline now."),
     DEADLINE_EXCEEDED(504, false, RunState.UNKNOWN, LogLevel.INFO, "The deadline passed while a target worked."),
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/membership/LivenessView.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/membership/LivenessView.java
@@ -41,6 +41,11 @@
         lastHeard.computeIfPresent(incarnation, (name, before) -> Math.max(before, now));
     }
 
+    /** Counts a member as silent until it is heard again. */
+    public void suspect(String incarnation, long now) {
+        lastHeard.computeIfPresent(incarnation, (name, before) -> now - windowNanoseconds);
+    }
+
     /** Tells whether the incarnation counts as alive. */
     public boolean isLive(String incarnation, long now) {
         if (incarnation.equals(self)) {
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/membership/Member.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/membership/Member.java
@@ -11,4 +11,10 @@
  * @param peerPort TCP port for peers
  */
 public record Member(
-        String incarnation, String instance, String region, String availabilityZone, String host, int peerPort) {}
+        String incarnation, String instance, String region, String availabilityZone, String host, int peerPort) {
+
+    /** Returns the same member at another port. */
+    public Member withPeerPort(int newPeerPort) {
+        return new Member(incarnation, instance, region, availabilityZone, host, newPeerPort);
+    }
+}
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/membership/RoundTree.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/membership/RoundTree.java
@@ -16,33 +16,33 @@
 
     private RoundTree() {}
 
-    /** Returns the branches over all positions but the coordinator's; relays are drawn from the live members. */
+    /**
+     * Returns the branches over the positions but the coordinator's. Members that do not count as live are asked by the
+     * coordinator itself, a bounded number per round, so that their silence holds up no relay.
+     */
     public static List<Branch> branches(int size, int coordinator, IntPredicate isLive, Random random) {
-        List<Integer> relays = new ArrayList<>();
-        List<Integer> others = new ArrayList<>();
+        List<Integer> live = new ArrayList<>();
+        List<Integer> silent = new ArrayList<>();
         for (int position = 0; position < size; position++) {
             if (position != coordinator) {
-                (isLive.test(position) ? relays : others).add(position);
+                (isLive.test(position) ? live : silent).add(position);
             }
         }
-        Collections.shuffle(relays, random);
-        int count = size - 1 <= MAXIMUM_DIRECT_MEMBERS ? size - 1 : (int) Math.ceil(Math.sqrt(size - 1));
-        while (relays.size() > count) {
-            others.add(relays.remove(relays.size() - 1));
-        }
-        if (relays.isEmpty() || size - 1 <= MAXIMUM_DIRECT_MEMBERS) {
-            relays.addAll(others);
-            others.clear();
-        }
+        Collections.shuffle(live, random);
+        Collections.shuffle(silent, random);
+        int count = live.size() <= MAXIMUM_DIRECT_MEMBERS ? live.size() : (int) Math.ceil(Math.sqrt(live.size()));
         List<List<Integer>> groups = new ArrayList<>();
-        relays.forEach(relay -> groups.add(new ArrayList<>()));
-        for (int index = 0; index < others.size(); index++) {
-            groups.get(index % groups.size()).add(others.get(index));
+        for (int index = 0; index < live.size(); index++) {
+            if (index < count) {
+                groups.add(new ArrayList<>());
+            }
+            groups.get(index % count).add(live.get(index));
         }
         List<Branch> branches = new ArrayList<>();
-        for (int index = 0; index < relays.size(); index++) {
-            branches.add(new Branch(relays.get(index), groups.get(index)));
-        }
+        groups.forEach(group -> branches.add(new Branch(group.get(0), group.subList(1, group.size()))));
+        silent.stream()
+                .limit(MAXIMUM_DIRECT_MEMBERS)
+                .forEach(position -> branches.add(new Branch(position, List.of())));
         return branches;
     }
 
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/Daemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/Daemon.java
@@ -2,18 +2,23 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import io.fireflywalk.core.membership.Member;
 import io.fireflywalk.core.routing.TargetSelector;
-import io.fireflywalk.daemon.configuration.ConfigurationWatcher;
+import io.fireflywalk.daemon.configuration.Coordination;
 import io.fireflywalk.daemon.gateway.GatewayServer;
 import io.fireflywalk.daemon.gateway.ModelRequestHandler;
 import io.fireflywalk.daemon.gateway.PlainRequestHandler;
 import io.fireflywalk.daemon.gateway.TargetPool;
 import io.fireflywalk.daemon.operators.ConfigurationChanger;
 import io.fireflywalk.daemon.operators.OperatorServer;
+import io.fireflywalk.daemon.peer.PeerClient;
 import io.fireflywalk.daemon.peer.PeerServer;
 import io.fireflywalk.daemon.settings.DaemonSettings;
 import io.fireflywalk.daemon.usage.UsageRecorder;
-import io.fireflywalk.platform.configuration.ConfigurationRepository;
+import io.fireflywalk.platform.instance.InstanceList;
+import io.fireflywalk.platform.table.ResolvingTableService;
+import io.fireflywalk.platform.table.TableMeters;
+import io.fireflywalk.platform.table.TableRetryPolicy;
 import io.fireflywalk.platform.table.TableService;
 import io.fireflywalk.platform.time.TimerService;
 import io.reactivex.rxjava3.core.Completable;
@@ -23,6 +28,7 @@
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.PoolOptions;
 import java.time.Duration;
+import java.util.Random;
 import java.util.UUID;
 import java.util.random.RandomGenerator;
 import org.jboss.logging.Logger;
@@ -31,31 +37,56 @@
 public final class Daemon {
     private static final Logger LOG = Logger.getLogger(Daemon.class);
     private static final int CONNECTIONS_PER_TARGET = 1024;
+    private static final Duration PEER_CONNECT_TIMEOUT = Duration.ofMillis(500);
     private static final Duration DRAIN_CHECK_PERIOD = Duration.ofMillis(50);
 
     private final DaemonSettings settings;
     private final TimerService timers;
-    private final ConfigurationWatcher watcher;
+    private final Coordination coordination;
     private final UsageRecorder usage;
     private final GatewayServer gateway;
     private final OperatorServer operators;
     private final PeerServer peers;
     private boolean draining;
 
-    public Daemon(Vertx vertx, DaemonSettings settings, TableService tables, TimerService timers) {
+    public Daemon(Vertx vertx, DaemonSettings settings, TableService tableService, TimerService timers) {
         this.settings = settings;
         this.timers = timers;
         String incarnation = settings.instance().name() + "-" + UUID.randomUUID();
         MetricRegistry metrics = new MetricRegistry();
-        ConfigurationRepository repository = new ConfigurationRepository(tables);
-        this.watcher = new ConfigurationWatcher(
-                repository, timers, Duration.ofMillis(settings.configuration().pollMilliseconds()));
+        TableMeters tableMeters = new TableMeters(timers);
+        tableMeters.register(metrics);
+        TableService tables = new ResolvingTableService(
+                tableService,
+                timers,
+                TableRetryPolicy.within(
+                        Duration.ofMillis(settings.tableService().deadlineMilliseconds())),
+                RandomGenerator.getDefault()::nextDouble,
+                tableMeters);
         this.usage = new UsageRecorder(
                 tables,
                 timers,
                 incarnation,
                 settings.usage().windowMilliseconds(),
                 Duration.ofMillis(settings.usage().flushMilliseconds()));
+        DaemonSettings.Instance instance = settings.instance();
+        this.peers = new PeerServer(vertx);
+        this.coordination = new Coordination(
+                new Member(
+                        incarnation,
+                        instance.name(),
+                        instance.region(),
+                        instance.availabilityZone(),
+                        instance.host(),
+                        0),
+                tables,
+                InstanceList.empty(),
+                new PeerClient(vertx, PEER_CONNECT_TIMEOUT),
+                timers,
+                new Random(),
+                Duration.ofMillis(settings.configuration().pollMilliseconds()),
+                Duration.ofMillis(settings.configuration().freshnessLimitMilliseconds()));
+        coordination.register(peers);
         HttpClient client = vertx.createHttpClient(
                 new HttpClientOptions()
                         .setConnectTimeout((int) settings.targets().connectMilliseconds()),
@@ -64,26 +95,31 @@
         this.gateway = new GatewayServer(
                 vertx,
                 settings,
-                watcher::snapshot,
+                coordination::snapshot,
+                coordination::mayServeKeyedRoutes,
                 new ModelRequestHandler(client, pool, usage, settings),
                 new PlainRequestHandler(client, pool, usage));
         this.operators = new OperatorServer(
                 vertx,
-                watcher::snapshot,
+                coordination::snapshot,
                 this::isReady,
-                new ConfigurationChanger(repository, watcher, timers),
+                new ConfigurationChanger(coordination, timers),
                 tables,
                 metrics,
                 settings.operatorKeys());
-        this.peers = new PeerServer(vertx);
         metrics.register("requests_in_flight", (Gauge<Integer>) gateway::requestsInFlight);
-        metrics.register(
-                "configuration_version", (Gauge<Long>) () -> watcher.snapshot().version());
+        metrics.register("configuration_version", (Gauge<Long>)
+                () -> coordination.snapshot().version());
+        metrics.register("configuration_fresh", (Gauge<Integer>) () -> coordination.mayServeKeyedRoutes() ? 1 : 0);
+        metrics.register("configuration_store_checks", (Gauge<Long>) coordination.guard()::storeChecks);
+        metrics.register("configuration_peer_checks", (Gauge<Long>) coordination.guard()::peerChecks);
+        metrics.register("members_live", (Gauge<Integer>)
+                () -> coordination.heartbeats().liveMembers().size());
     }
 
     /** Starts all parts and returns the bound ports. */
     public Future<BoundPorts> start() {
-        watcher.start();
+
         usage.start();
         String host = settings.instance().host();
         return gateway.listen(host, settings.listen().callerPort())
@@ -92,6 +128,7 @@
                         .compose(operatorPort -> peers.listen(
                                         host, settings.listen().peerPort())
                                 .map(peerPort -> new BoundPorts(callerPort, operatorPort, peerPort))))
+                .onSuccess(ports -> coordination.start(ports.peerPort()))
                 .onSuccess(ports -> LOG.infof(
                         "event=started instance=%s caller_port=%d operator_port=%d peer_port=%d",
                         settings.instance().name(), ports.callerPort(), ports.operatorPort(), ports.peerPort()));
@@ -99,7 +136,7 @@
 
     /** Tells whether the balancer should send callers to this instance. */
     public boolean isReady() {
-        return !draining && watcher.snapshot().version() > 0;
+        return !draining && !coordination.snapshot().services().isEmpty();
     }
 
     /** Stops without cutting a request: readiness off, balancer delay, drain, flush. */
@@ -115,9 +152,9 @@
                         .ignoreElements())
                 .andThen(Completable.defer(() -> {
                     usage.stop();
-                    watcher.stop();
-                    return usage.flush().onErrorComplete();
+                    return usage.flush().onErrorComplete().andThen(coordination.leave());
                 }))
+                .doOnComplete(coordination::stop)
                 .doOnComplete(() -> LOG.infof(
                         "event=stopped instance=%s", settings.instance().name()));
     }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/GatewayServer.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/GatewayServer.java
@@ -15,6 +15,7 @@
 import io.vertx.core.json.JsonObject;
 import java.util.Optional;
 import java.util.UUID;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 /** HTTP server for callers. Authenticates each request and hands it to its handler. Confined to one event loop. */
@@ -26,6 +27,7 @@
 
     private final HttpServer server;
     private final Supplier<ConfigurationSnapshot> snapshots;
+    private final BooleanSupplier mayServeKeyedRoutes;
     private final ModelRequestHandler modelHandler;
     private final PlainRequestHandler plainHandler;
     private boolean draining;
@@ -35,9 +37,11 @@
             Vertx vertx,
             DaemonSettings settings,
             Supplier<ConfigurationSnapshot> snapshots,
+            BooleanSupplier mayServeKeyedRoutes,
             ModelRequestHandler modelHandler,
             PlainRequestHandler plainHandler) {
         this.snapshots = snapshots;
+        this.mayServeKeyedRoutes = mayServeKeyedRoutes;
         this.modelHandler = modelHandler;
         this.plainHandler = plainHandler;
         this.server = vertx.createHttpServer(new HttpServerOptions()
@@ -103,14 +107,13 @@
             ErrorKind kind = snapshot.hasPlainPath(path) ? ErrorKind.METHOD_NOT_ALLOWED : ErrorKind.UNKNOWN_ROUTE;
             throw new FireflywalkException(kind, "no route for " + method + " on this path", "gateway");
         }
-        String account =
-                routed.get().route().openToAll() ? "" : KeyAuthenticator.authenticate(snapshot, request.headers());
+        String account = routed.get().route().openToAll() ? "" : authenticate(snapshot, request);
         plainHandler.handle(new RequestScope(requestId, request, snapshot, account), routed.get());
     }
 
     private void dispatchModel(String requestId, HttpServerRequest request, ConfigurationSnapshot snapshot)
             throws FireflywalkException {
-        String account = KeyAuthenticator.authenticate(snapshot, request.headers());
+        String account = authenticate(snapshot, request);
         RequestScope scope = new RequestScope(requestId, request, snapshot, account);
         switch (request.path()) {
             case "/v1/chat/completions", "/v1/completions" -> {
@@ -125,6 +128,16 @@
         }
     }
 
+    private String authenticate(ConfigurationSnapshot snapshot, HttpServerRequest request) throws FireflywalkException {
+        if (!mayServeKeyedRoutes.getAsBoolean()) {
+            throw new FireflywalkException(
+                    ErrorKind.CONFIGURATION_STALE,
+                    "the instance cannot tell whether the key is still valid",
+                    "gateway");
+        }
+        return KeyAuthenticator.authenticate(snapshot, request.headers());
+    }
+
     private static void requireMethod(HttpServerRequest request, HttpMethod method) throws FireflywalkException {
         if (!request.method().equals(method)) {
             throw new FireflywalkException(ErrorKind.METHOD_NOT_ALLOWED, "the path takes " + method, "gateway");
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/operators/ConfigurationChanger.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/operators/ConfigurationChanger.java
@@ -4,16 +4,18 @@
 import io.fireflywalk.core.configuration.ConfigurationSnapshot;
 import io.fireflywalk.core.configuration.ConfigurationValidator;
 import io.fireflywalk.core.configuration.DocumentChange;
+import io.fireflywalk.core.configuration.DocumentKind;
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
-import io.fireflywalk.daemon.configuration.ConfigurationWatcher;
+import io.fireflywalk.daemon.configuration.Coordination;
 import io.fireflywalk.operator.message.OperatorMessages;
 import io.fireflywalk.platform.configuration.ChangeRecord;
-import io.fireflywalk.platform.configuration.ConfigurationRepository;
 import io.fireflywalk.platform.configuration.DocumentCodec;
 import io.fireflywalk.platform.time.TimerService;
 import io.reactivex.rxjava3.core.Single;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.UUID;
 import java.util.stream.Collectors;
 import org.jboss.logging.Logger;
@@ -22,57 +24,124 @@
 public final class ConfigurationChanger {
     private static final Logger LOG = Logger.getLogger(ConfigurationChanger.class);
     private static final String LOCATION = "configuration change";
+    private static final int MAXIMUM_SHOWN_CHANGES = 5;
 
-    private final ConfigurationRepository repository;
-    private final ConfigurationWatcher watcher;
+    private final Coordination coordination;
     private final TimerService timers;
     private final ConfigurationValidator validator = new ConfigurationValidator();
 
-    public ConfigurationChanger(ConfigurationRepository repository, ConfigurationWatcher watcher, TimerService timers) {
-        this.repository = repository;
-        this.watcher = watcher;
+    public ConfigurationChanger(Coordination coordination, TimerService timers) {
+        this.coordination = coordination;
         this.timers = timers;
     }
 
-    /** Emits the new version once the change is durable and in force at this instance. */
+    /** Emits the new version once the change is durable and no instance serves keyed routes from an older one. */
     public Single<Long> change(OperatorMessages.ChangeRequest request) {
-        return watcher.refresh().andThen(Single.defer(() -> commit(request)));
+        return coordination
+                .watcher()
+                .refresh()
+                .andThen(Single.defer(() -> requireNoOtherChange(request.baseVersion())))
+                .flatMap(base -> commit(request, base));
     }
 
-    private Single<Long> commit(OperatorMessages.ChangeRequest request) throws FireflywalkException {
-        ConfigurationSnapshot base = watcher.snapshot();
-        if (base.version() != request.baseVersion()) {
-            return Single.error(conflict(request.baseVersion(), base.version()));
+    /**
+     * Emits the snapshot to change. Membership changes since the operator's base do not touch documents of operators;
+     * any other change is a conflict, which names its version, author, reason and documents.
+     */
+    private Single<ConfigurationSnapshot> requireNoOtherChange(long baseVersion) {
+        ConfigurationSnapshot present = coordination.snapshot();
+        if (present.version() == baseVersion) {
+            return Single.just(present);
         }
+        if (present.version() < baseVersion) {
+            return Single.error(conflict(baseVersion, "version " + present.version() + " is present"));
+        }
+        return coordination
+                .repository()
+                .logAfter(baseVersion)
+                .observeOn(timers.scheduler())
+                .flatMap(entries -> {
+                    boolean complete = !entries.isEmpty()
+                            && entries.get(entries.size() - 1).version() >= present.version();
+                    String others = entries.stream()
+                            .filter(entry -> !isMembershipOnly(entry))
+                            .limit(MAXIMUM_SHOWN_CHANGES)
+                            .map(ConfigurationChanger::describe)
+                            .collect(Collectors.joining(", "));
+                    return complete && others.isEmpty()
+                            ? Single.just(present)
+                            : Single.error(conflict(baseVersion, others.isEmpty() ? "many versions followed" : others));
+                });
+    }
+
+    private Single<Long> commit(OperatorMessages.ChangeRequest request, ConfigurationSnapshot base)
+            throws FireflywalkException {
         List<DocumentChange> changes = DocumentCodec.fromMessages(request.changes(), "request body");
         long version = base.version() + 1;
         ConfigurationSnapshot next = base.apply(version, changes);
-        List<ConfigurationProblem> problems = validator.validate(next);
+        List<String> problems = new ArrayList<>();
+        changes.stream()
+                .filter(change -> change.kind() == DocumentKind.MEMBER)
+                .forEach(change -> problems.add("member/" + change.name() + ": only instances change the members"));
+        validator.validate(next).stream().map(ConfigurationProblem::toString).forEach(problems::add);
         if (!problems.isEmpty()) {
-            String list = problems.stream().map(ConfigurationProblem::toString).collect(Collectors.joining("; "));
-            return Single.error(new FireflywalkException(ErrorKind.CONFIGURATION_INVALID, list, LOCATION));
+            return Single.error(
+                    new FireflywalkException(ErrorKind.CONFIGURATION_INVALID, String.join("; ", problems), LOCATION));
         }
         ChangeRecord entry = new ChangeRecord(
                 version, request.author(), request.reason(), timers.wallClockMilliseconds(), request.changes());
-        return repository
+        return coordination
+                .repository()
                 .commit(UUID.randomUUID().toString(), base.version(), changes, entry)
                 .observeOn(timers.scheduler())
-                .flatMap(committed -> {
-                    if (!committed) {
-                        return Single.error(conflict(base.version(), version));
-                    }
-                    watcher.adopt(next);
-                    LOG.infof(
-                            "event=configuration_accepted version=%d author=\"%s\" reason=\"%s\" changes=%d",
-                            version, request.author(), request.reason(), changes.size());
-                    return Single.just(version);
-                });
+                .flatMap(committed -> committed ? acknowledge(entry, next) : changeAgain(request, base));
+    }
+
+    /** After a lost race the base is checked again: only a membership change in between allows another attempt. */
+    private Single<Long> changeAgain(OperatorMessages.ChangeRequest request, ConfigurationSnapshot lostBase) {
+        return coordination.watcher().refresh().andThen(Single.defer(() -> {
+            if (coordination.snapshot().version() == lostBase.version()) {
+                return Single.error(conflict(request.baseVersion(), "another change came first"));
+            }
+            return requireNoOtherChange(request.baseVersion()).flatMap(base -> commit(request, base));
+        }));
+    }
+
+    private Single<Long> acknowledge(ChangeRecord entry, ConfigurationSnapshot committed) throws FireflywalkException {
+        coordination.watcher().adoptEntries(List.of(entry));
+        LOG.infof(
+                "event=configuration_accepted version=%d author=\"%s\" reason=\"%s\" changes=%d",
+                entry.version(), entry.author(), entry.reason(), entry.changes().size());
+        return coordination.acknowledged(committed).flatMap(acknowledged -> {
+            if (!acknowledged) {
+                return Single.error(new FireflywalkException(
+                        ErrorKind.ACKNOWLEDGEMENT_PENDING,
+                        "version " + entry.version()
+                                + " is durable, but no majority of the instances is known to hold it",
+                        LOCATION));
+            }
+            LOG.infof("event=configuration_acknowledged version=%d", entry.version());
+            return Single.just(entry.version());
+        });
+    }
+
+    private static boolean isMembershipOnly(ChangeRecord entry) {
+        return entry.changes().stream().allMatch(change -> change.kind() == DocumentKind.MEMBER);
+    }
+
+    private static String describe(ChangeRecord entry) {
+        String documents = entry.changes().stream()
+                .limit(MAXIMUM_SHOWN_CHANGES)
+                .map(change -> change.kind().name().toLowerCase(Locale.ROOT) + "/" + change.name())
+                .collect(Collectors.joining(" "));
+        return "version " + entry.version() + " by " + entry.author() + " (" + entry.reason() + ") changed "
+                + documents;
     }
 
-    private static FireflywalkException conflict(long baseVersion, long presentVersion) {
+    private static FireflywalkException conflict(long baseVersion, String others) {
         return new FireflywalkException(
                 ErrorKind.VERSION_CONFLICT,
-                "the change was made from version " + baseVersion + ", but version " + presentVersion + " is present",
+                "the change was made from version " + baseVersion + ", but " + others,
                 LOCATION);
     }
 }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/peer/PeerClient.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/peer/PeerClient.java
@@ -17,7 +17,7 @@
 import java.time.Duration;
 
 /** Sends messages to peers. Each call has a deadline. Thread-safe. */
-public final class PeerClient {
+public final class PeerClient implements PeerTransport {
     private static final int CONNECTIONS_PER_PEER = 4;
     private static final int MAXIMUM_WAITING_CALLS = 256;
     private static final int STATUS_OK = 200;
@@ -30,7 +30,7 @@
                 new PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_PEER).setMaxWaitQueueSize(MAXIMUM_WAITING_CALLS));
     }
 
-    /** Posts a message and emits the answer, or fails with an error of kind {@code TARGET_FAILED}. */
+    @Override
     public <T> Single<T> call(Member peer, String path, Object message, Class<T> answerType, Duration deadline) {
         Buffer body = Buffer.buffer(Codec.json().write(message));
         RequestOptions options = new RequestOptions()
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/peer/PeerServer.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/peer/PeerServer.java
@@ -15,7 +15,7 @@
 import java.util.function.Function;
 
 /** HTTP server for peers. Parts add their calls before it listens. Confined to one event loop. */
-public final class PeerServer {
+public final class PeerServer implements PeerCalls {
     private static final int MAXIMUM_BODY_BYTES = 4 * 1024 * 1024;
 
     private final HttpServer server;
@@ -25,7 +25,7 @@
         this.server = vertx.createHttpServer().requestHandler(this::handle);
     }
 
-    /** Adds a call: a POST of one message type at a path. */
+    @Override
     public <T> void addCall(String path, Class<T> messageType, Function<T, Single<?>> handler) {
         calls.put(path, new Call<>(messageType, handler));
     }
--- a/fireflywalk-platform/src/main/java/io/fireflywalk/platform/configuration/ConfigurationRepository.java
+++ b/fireflywalk-platform/src/main/java/io/fireflywalk/platform/configuration/ConfigurationRepository.java
@@ -57,15 +57,15 @@
     }
 
     /** Returns the snapshot brought up to the head. A snapshot of version 0 is loaded from the document rows. */
-    public Single<ConfigurationSnapshot> refresh(ConfigurationSnapshot current) {
+    public Single<Refresh> refresh(ConfigurationSnapshot current) {
         return headVersion().flatMap(head -> {
             if (head <= current.version()) {
-                return Single.just(current);
+                return Single.just(new Refresh(current, List.of()));
             }
             if (current.version() == 0) {
-                return load(head).flatMap(this::followLog);
+                return load(head).flatMap(loaded -> followLog(new Refresh(loaded, List.of())));
             }
-            return followLog(current);
+            return followLog(new Refresh(current, List.of()));
         });
     }
 
@@ -103,14 +103,18 @@
         });
     }
 
-    private Single<ConfigurationSnapshot> followLog(ConfigurationSnapshot snapshot) {
-        return logAfter(snapshot.version()).flatMap(entries -> {
-            Optional<ConfigurationSnapshot> next = applyEntries(snapshot, entries);
+    private Single<Refresh> followLog(Refresh reached) {
+        long version = reached.snapshot().version();
+        return logAfter(version).flatMap(entries -> {
+            Optional<ConfigurationSnapshot> next = applyEntries(reached.snapshot(), entries);
             if (next.isEmpty()) {
-                return Single.error(new FireflywalkException(
-                        ErrorKind.INTERNAL, "gap after version " + snapshot.version(), LOG_TABLE));
+                return Single.error(
+                        new FireflywalkException(ErrorKind.INTERNAL, "gap after version " + version, LOG_TABLE));
             }
-            return entries.size() < SCAN_LIMIT ? Single.just(next.get()) : followLog(next.get());
+            List<ChangeRecord> applied = new ArrayList<>(reached.entries());
+            applied.addAll(entries);
+            Refresh refresh = new Refresh(next.get(), applied);
+            return entries.size() < SCAN_LIMIT ? Single.just(refresh) : followLog(refresh);
         });
     }
 
@@ -134,4 +138,16 @@
     private static String logKey(long version) {
         return String.format(Locale.ROOT, "%019d", version);
     }
+
+    /**
+     * Result of a refresh.
+     *
+     * @param snapshot snapshot at the head
+     * @param entries log entries that led to it
+     */
+    public record Refresh(ConfigurationSnapshot snapshot, List<ChangeRecord> entries) {
+        public Refresh {
+            entries = List.copyOf(entries);
+        }
+    }
 }
--- a/fireflywalk-platform/src/main/java/io/fireflywalk/platform/configuration/DocumentCodec.java
+++ b/fireflywalk-platform/src/main/java/io/fireflywalk/platform/configuration/DocumentCodec.java
@@ -44,10 +44,12 @@
 
     /** Returns the change of a JSON form. */
     public static DocumentChange fromMessage(ChangeMessage message, String location) throws FireflywalkException {
-        if (message.document().isEmpty()) {
+        // An absent field arrives as a null node inside the optional, not as an empty optional.
+        Optional<JsonNode> fields = message.document().filter(node -> !node.isNull() && !node.isMissingNode());
+        if (fields.isEmpty()) {
             return DocumentChange.remove(message.kind(), message.name());
         }
-        String text = message.document().get().toString();
+        String text = fields.get().toString();
         String path = location + " " + message.kind() + "/" + message.name();
         return DocumentChange.put(Codec.json().read(text, typeOf(message.kind()), path));
     }
--- /dev/null
+++ b/fireflywalk-standin/src/main/java/io/fireflywalk/standin/SimulatedInstanceList.java
@@ -0,0 +1,46 @@
+package io.fireflywalk.standin;
+
+import io.fireflywalk.platform.instance.InstanceList;
+import io.fireflywalk.platform.instance.InstanceStatus;
+import io.fireflywalk.platform.time.TimerService;
+import io.reactivex.rxjava3.core.Single;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** List of instances that shows each change only after a lag. Thread-safe. */
+public final class SimulatedInstanceList implements InstanceList {
+    private final TimerService timers;
+    private final Duration lag;
+    private final List<Change> changes = new ArrayList<>();
+
+    public SimulatedInstanceList(TimerService timers, Duration lag) {
+        this.timers = timers;
+        this.lag = lag;
+    }
+
+    /** Records a change of state; the list shows it after the lag. */
+    public synchronized void report(InstanceStatus status) {
+        changes.add(new Change(timers.monotonicNanoseconds(), status));
+    }
+
+    @Override
+    public Single<List<InstanceStatus>> read() {
+        return Single.fromCallable(this::visible);
+    }
+
+    private synchronized List<InstanceStatus> visible() {
+        long now = timers.monotonicNanoseconds();
+        Map<String, InstanceStatus> latest = new TreeMap<>();
+        for (Change change : changes) {
+            if (now - change.at() >= lag.toNanos()) {
+                latest.put(change.status().incarnation(), change.status());
+            }
+        }
+        return List.copyOf(latest.values());
+    }
+
+    private record Change(long at, InstanceStatus status) {}
+}
