--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/Daemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/Daemon.java
@@ -2,8 +2,9 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import io.fireflywalk.core.membership.Member;
 import io.fireflywalk.core.routing.TargetSelector;
-import io.fireflywalk.daemon.configuration.ConfigurationWatcher;
+import io.fireflywalk.daemon.configuration.Coordination;
 import io.fireflywalk.daemon.gateway.GatewayContext;
 import io.fireflywalk.daemon.gateway.GatewayServer;
 import io.fireflywalk.daemon.gateway.RetryGovernor;
@@ -12,11 +13,15 @@
 import io.fireflywalk.daemon.operators.ConfigurationChanger;
 import io.fireflywalk.daemon.operators.OperatorServer;
 import io.fireflywalk.daemon.operators.ProcessMetrics;
+import io.fireflywalk.daemon.peer.PeerClient;
 import io.fireflywalk.daemon.peer.PeerServer;
 import io.fireflywalk.daemon.settings.DaemonSettings;
 import io.fireflywalk.daemon.usage.UsageRecorder;
 import io.fireflywalk.operator.message.StatusTable;
-import io.fireflywalk.platform.configuration.ConfigurationRepository;
+import io.fireflywalk.platform.instance.InstanceList;
+import io.fireflywalk.platform.table.ResolvingTableService;
+import io.fireflywalk.platform.table.TableMeters;
+import io.fireflywalk.platform.table.TableRetryPolicy;
 import io.fireflywalk.platform.table.TableService;
 import io.fireflywalk.platform.time.TimerService;
 import io.reactivex.rxjava3.core.Completable;
@@ -25,6 +30,7 @@
 import io.vertx.core.Vertx;
 import java.time.Duration;
 import java.util.List;
+import java.util.Random;
 import java.util.UUID;
 import java.util.random.RandomGenerator;
 import org.jboss.logging.Logger;
@@ -32,11 +38,12 @@
 /** One instance: builds the parts, starts them, and drains them at shutdown. Confined to one event loop. */
 public final class Daemon {
     private static final Logger LOG = Logger.getLogger(Daemon.class);
+    private static final Duration PEER_CONNECT_TIMEOUT = Duration.ofMillis(500);
     private static final Duration DRAIN_CHECK_PERIOD = Duration.ofMillis(50);
 
     private final DaemonSettings settings;
     private final TimerService timers;
-    private final ConfigurationWatcher watcher;
+    private final Coordination coordination;
     private final UsageRecorder usage;
     private final GatewayServer gateway;
     private final OperatorServer operators;
@@ -45,46 +52,84 @@
     private boolean draining;
 
     public Daemon(
-            Vertx vertx, DaemonSettings settings, TableService tables, TimerService timers, Runnable drainRequest) {
+            Vertx vertx,
+            DaemonSettings settings,
+            TableService tableService,
+            TimerService timers,
+            Runnable drainRequest) {
         this.drainRequest = drainRequest;
         this.settings = settings;
         this.timers = timers;
         String incarnation = settings.instance().name() + "-" + UUID.randomUUID();
         MetricRegistry metrics = new MetricRegistry();
-        ConfigurationRepository repository = new ConfigurationRepository(tables);
-        this.watcher = new ConfigurationWatcher(
-                repository, timers, Duration.ofMillis(settings.configuration().pollMilliseconds()));
+        TableService tables = resolvingTables(tableService, metrics);
+        this.peers = new PeerServer(vertx);
+        this.coordination = new Coordination(
+                self(incarnation),
+                tables,
+                InstanceList.empty(),
+                new PeerClient(vertx, PEER_CONNECT_TIMEOUT),
+                timers,
+                new Random(),
+                Duration.ofMillis(settings.configuration().pollMilliseconds()),
+                Duration.ofMillis(settings.configuration().freshnessLimitMilliseconds()));
+        coordination.register(peers);
         this.usage = new UsageRecorder(
                 tables,
                 timers,
                 incarnation,
                 settings.usage().windowMilliseconds(),
                 Duration.ofMillis(settings.usage().flushMilliseconds()));
-        GatewayContext context = gatewayContext(vertx, metrics);
-        this.gateway = new GatewayServer(vertx, context);
+        this.gateway = new GatewayServer(vertx, gatewayContext(vertx, metrics), coordination::mayServeKeyedRoutes);
         this.operators = new OperatorServer(
                 vertx,
                 timers,
                 settings,
-                watcher::snapshot,
+                coordination::snapshot,
                 this::isReady,
                 this::startDrain,
-                new ConfigurationChanger(repository, watcher, timers),
+                new ConfigurationChanger(coordination, timers),
                 tables,
                 metrics);
         operators.addStatus(() -> Single.fromCallable(this::instanceStatus));
-        this.peers = new PeerServer(vertx);
         ProcessMetrics.register(metrics);
         metrics.register("requests_in_flight", (Gauge<Integer>) gateway::requestsInFlight);
-        metrics.register(
-                "configuration_version", (Gauge<Long>) () -> watcher.snapshot().version());
+        registerCoordination(metrics);
+    }
+
+    private Member self(String incarnation) {
+        DaemonSettings.Instance instance = settings.instance();
+        return new Member(
+                incarnation, instance.name(), instance.region(), instance.availabilityZone(), instance.host(), 0);
+    }
+
+    private TableService resolvingTables(TableService tableService, MetricRegistry metrics) {
+        TableMeters meters = new TableMeters(timers);
+        meters.register(metrics);
+        Duration deadline = Duration.ofMillis(settings.tableService().deadlineMilliseconds());
+        return new ResolvingTableService(
+                tableService,
+                timers,
+                TableRetryPolicy.within(deadline),
+                RandomGenerator.getDefault()::nextDouble,
+                meters);
+    }
+
+    private void registerCoordination(MetricRegistry metrics) {
+        metrics.register("configuration_version", (Gauge<Long>)
+                () -> coordination.snapshot().version());
+        metrics.register("configuration_fresh", (Gauge<Integer>) () -> coordination.mayServeKeyedRoutes() ? 1 : 0);
+        metrics.register("configuration_store_checks", (Gauge<Long>) coordination.guard()::storeChecks);
+        metrics.register("configuration_peer_checks", (Gauge<Long>) coordination.guard()::peerChecks);
+        metrics.register("members_live", (Gauge<Integer>)
+                () -> coordination.heartbeats().liveMembers().size());
     }
 
     private GatewayContext gatewayContext(Vertx vertx, MetricRegistry metrics) {
         RandomGenerator random = RandomGenerator.getDefault();
         return GatewayContext.create(
                 settings,
-                watcher::snapshot,
+                coordination::snapshot,
                 timers,
                 new TargetConnections(vertx, settings.targets(), timers),
                 new TargetPool(TargetSelector.powerOfTwoChoices(), random),
@@ -95,7 +140,6 @@
 
     /** Starts all parts and returns the bound ports. */
     public Future<BoundPorts> start() {
-        watcher.start();
         usage.start();
         String host = settings.instance().host();
         return gateway.listen(host, settings.listen().callerPort())
@@ -104,6 +148,7 @@
                         .compose(operatorPort -> peers.listen(
                                         host, settings.listen().peerPort())
                                 .map(peerPort -> new BoundPorts(callerPort, operatorPort, peerPort))))
+                .onSuccess(ports -> coordination.start(ports.peerPort()))
                 .onSuccess(ports -> LOG.infof(
                         "event=started instance=%s caller_port=%d operator_port=%d peer_port=%d",
                         settings.instance().name(), ports.callerPort(), ports.operatorPort(), ports.peerPort()));
@@ -111,7 +156,7 @@
 
     /** Tells whether the balancer should send callers to this instance. */
     public boolean isReady() {
-        return !draining && watcher.snapshot().version() > 0;
+        return !draining && !coordination.snapshot().services().isEmpty();
     }
 
     /** Starts a graceful shutdown and returns the number of requests in flight. */
@@ -129,7 +174,7 @@
                 List.of(List.of(
                         settings.instance().name(),
                         settings.instance().availabilityZone(),
-                        Long.toString(watcher.snapshot().version()),
+                        Long.toString(coordination.snapshot().version()),
                         Boolean.toString(isReady()),
                         Boolean.toString(draining),
                         Integer.toString(gateway.requestsInFlight()))));
@@ -148,9 +193,9 @@
                         .ignoreElements())
                 .andThen(Completable.defer(() -> {
                     usage.stop();
-                    watcher.stop();
-                    return usage.flush().onErrorComplete();
+                    return usage.flush().onErrorComplete().andThen(coordination.leave());
                 }))
+                .doOnComplete(coordination::stop)
                 .doOnComplete(() -> LOG.infof(
                         "event=stopped instance=%s", settings.instance().name()));
     }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/GatewayServer.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/GatewayServer.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.vertx.core.Future;
+import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpMethod;
@@ -20,6 +21,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.UUID;
+import java.util.function.BooleanSupplier;
 
 /** HTTP server for callers. Authenticates each request and hands it to its handler. Confined to one event loop. */
 public final class GatewayServer {
@@ -31,14 +33,16 @@
 
     private final HttpServer server;
     private final GatewayContext context;
+    private final BooleanSupplier mayServeKeyedRoutes;
     private final ModelRequestHandler modelHandler;
     private final PlainRequestHandler plainHandler;
     private final CallerConnections connections;
     private boolean draining;
     private int requestsInFlight;
 
-    public GatewayServer(Vertx vertx, GatewayContext context) {
+    public GatewayServer(Vertx vertx, GatewayContext context, BooleanSupplier mayServeKeyedRoutes) {
         this.context = context;
+        this.mayServeKeyedRoutes = mayServeKeyedRoutes;
         this.modelHandler = new ModelRequestHandler(context);
         this.plainHandler = new PlainRequestHandler(context);
         DaemonSettings.Limits limits = context.settings().limits();
@@ -133,7 +137,7 @@
         ConfigurationSnapshot snapshot = arrived.snapshot();
         String path = request.path();
         if (path.startsWith(MODEL_PREFIX)) {
-            dispatchModel(arrived.withAccount(KeyAuthenticator.authenticate(snapshot, request.headers())));
+            dispatchModel(arrived.withAccount(authenticate(snapshot, request.headers())));
             return;
         }
         String method = request.method().name();
@@ -142,8 +146,7 @@
             ErrorKind kind = snapshot.hasPlainPath(path) ? ErrorKind.METHOD_NOT_ALLOWED : ErrorKind.UNKNOWN_ROUTE;
             throw new FireflywalkException(kind, "no route for this method and path", LOCATION);
         }
-        String account =
-                routed.get().route().openToAll() ? "" : KeyAuthenticator.authenticate(snapshot, request.headers());
+        String account = routed.get().route().openToAll() ? "" : authenticate(snapshot, request.headers());
         plainHandler.handle(arrived.withAccount(account), routed.get());
     }
 
@@ -162,6 +165,14 @@
         }
     }
 
+    private String authenticate(ConfigurationSnapshot snapshot, MultiMap headers) throws FireflywalkException {
+        if (!mayServeKeyedRoutes.getAsBoolean()) {
+            throw new FireflywalkException(
+                    ErrorKind.CONFIGURATION_STALE, "the instance cannot tell whether the key is still valid", LOCATION);
+        }
+        return KeyAuthenticator.authenticate(snapshot, headers);
+    }
+
     private static void requireMethod(HttpServerRequest request, HttpMethod method) throws FireflywalkException {
         if (!request.method().equals(method)) {
             throw new FireflywalkException(ErrorKind.METHOD_NOT_ALLOWED, "the path takes " + method, LOCATION);
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/endtoend/FleetProcesses.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/endtoend/FleetProcesses.java
@@ -54,7 +54,7 @@
                 tableService: {port: %d}
                 shutdown: {balancerDelayMilliseconds: 300}
                 targets: {gapMilliseconds: 2000}
-                operatorKeys: ["%s"]
+                operatorKeys: [{name: tester, digest: "%s"}]
                 """.formatted(tablePort, SecretDigest.of(OPERATOR_KEY)));
         daemon = ChildProcess.start(
                 directory.resolve("daemon.log"), DaemonMain.class, "run", "--settings", settings.toString());
@@ -63,7 +63,8 @@
         operatorServer = "http://127.0.0.1:" + ChildProcess.numberIn(ports, "operator=(\\d+)");
         callerBase = "http://127.0.0.1:" + ChildProcess.numberIn(ports, "caller=(\\d+)");
         apply(false);
-        key = operator("key-create", "--account", "county", "--name", "morning").strip();
+        key = operator("key", "create", "--account", "county", "--name", "morning")
+                .strip();
         while (get("/v1/models").statusCode() != 200) {
             Thread.sleep(50);
         }
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/gateway/GatewayFixture.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/gateway/GatewayFixture.java
@@ -76,9 +76,10 @@
                 .ignoreElement()
                 .blockingAwait();
         CompletableFuture<Daemon.BoundPorts> started = new CompletableFuture<>();
-        context.runOnContext(ignored -> new Daemon(vertx, settings, tables, new VertxTimerService(vertx, context))
-                .start()
-                .onComplete(started::complete, started::completeExceptionally));
+        context.runOnContext(
+                ignored -> new Daemon(vertx, settings, tables, new VertxTimerService(vertx, context), () -> {})
+                        .start()
+                        .onComplete(started::complete, started::completeExceptionally));
         callerPort = started.get(START_SECONDS, TimeUnit.SECONDS).callerPort();
         operatorPort = started.get().operatorPort();
         while (get("/v1/models").statusCode() != 200) {
--- a/fireflywalk-platform/src/main/java/io/fireflywalk/platform/configuration/DocumentCodec.java
+++ b/fireflywalk-platform/src/main/java/io/fireflywalk/platform/configuration/DocumentCodec.java
@@ -7,6 +7,7 @@
 import io.fireflywalk.core.configuration.ConfigurationDocument;
 import io.fireflywalk.core.configuration.DocumentChange;
 import io.fireflywalk.core.configuration.DocumentKind;
+import io.fireflywalk.core.configuration.MemberDocument;
 import io.fireflywalk.core.configuration.Service;
 import io.fireflywalk.core.configuration.Target;
 import io.fireflywalk.core.error.FireflywalkException;
@@ -43,10 +44,12 @@
 
     /** Returns the change of a JSON form. */
     public static DocumentChange fromMessage(ChangeMessage message, String location) throws FireflywalkException {
-        if (message.document().isEmpty()) {
+        // An absent field arrives as a null node inside the optional, not as an empty optional.
+        Optional<JsonNode> fields = message.document().filter(node -> !node.isNull() && !node.isMissingNode());
+        if (fields.isEmpty()) {
             return DocumentChange.remove(message.kind(), message.name());
         }
-        String text = message.document().get().toString();
+        String text = fields.get().toString();
         String path = location + " " + message.kind() + "/" + message.name();
         return DocumentChange.put(Codec.json().read(text, typeOf(message.kind()), path));
     }
@@ -68,6 +71,7 @@
             case API_KEY -> ApiKey.class;
             case SERVICE -> Service.class;
             case TARGET -> Target.class;
+            case MEMBER -> MemberDocument.class;
         };
     }
 }
