Check that the daemon's log holds no key

FailureUnderLoadTest searches the log of a daemon that served and refused requests for the secret of the key. Switches of the test doubles get the default branch that Checkstyle demands.

--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/endtoend/FailureUnderLoadTest.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/endtoend/FailureUnderLoadTest.java
@@ -1,6 +1,7 @@
 package io.fireflywalk.daemon.endtoend;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.fireflywalk.standin.ModelEngineServer;
@@ -119,6 +120,8 @@
         assertTrue(completed.get() > STREAMS, "only " + completed.get() + " requests were completed");
         String log = Files.readString(directory.resolve("daemon.log"));
         assertTrue(log.contains("event=stopped"), log);
+        String secret = fleet.key().substring(fleet.key().indexOf('.') + 1);
+        assertFalse(log.contains(secret), "the log holds a key");
     }
 
     private void awaitRunning(int engine) throws Exception {
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/endtoend/FleetProcesses.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/endtoend/FleetProcesses.java
@@ -93,6 +93,10 @@
         operator("apply", "--file", file.toString());
     }
 
+    String key() {
+        return key;
+    }
+
     ChildProcess daemon() {
         return daemon;
     }
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/gateway/ScriptedEngine.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/gateway/ScriptedEngine.java
@@ -74,8 +74,8 @@
                 connection.chunk(token(3).substring(0, 20));
                 return false;
             }
-            case STALL -> {
-                // Nothing more is sent.
+            default -> {
+                // STALL: nothing more is sent.
             }
         }
         return connection.stall();
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/gateway/TargetFault.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/gateway/TargetFault.java
@@ -66,7 +66,8 @@
             case UNMARKED_503 -> connection.write(status(503, id));
             case UNMARKED_429 -> connection.write(status(429, id));
             case STATUS_500 -> connection.write(status(500, id));
-            case MALFORMED_HEAD -> connection.write("HTTP/9 what\r\n\r\n");
+            // MALFORMED_HEAD
+            default -> connection.write("HTTP/9 what\r\n\r\n");
         }
         return connection.stall();
     }
