--- a/fireflywalk-core/src/test/java/io/fireflywalk/core/configuration/FreshnessProperties.java
+++ b/fireflywalk-core/src/test/java/io/fireflywalk/core/configuration/FreshnessProperties.java
@@ -22,7 +22,7 @@
     private static long servingChecks;
 
     @Property(tries = 2_000)
-    void noInstanceServesAKeyAfterItsAcknowledgedRevocation(
+    void noInstanceServesKeysWhoseRevocationWasAcknowledged(
             @ForAll long seed, @ForAll @IntRange(min = 1, max = 6) int members) {
         SimulatedFleet fleet = new SimulatedFleet(seed, members);
         fleet.run(STEPS);
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/configuration/CoordinationTest.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/configuration/CoordinationTest.java
@@ -84,7 +84,7 @@
     }
 
     @Example
-    void loserOfARaceSeesTheOtherChange() {
+    void loserOfTheRaceSeesTheOtherChange() {
         VirtualFleet fleet = new VirtualFleet(4, 3);
         fleet.createKey(KEY);
         long base = fleet.nodes.get(0).coordination.snapshot().version();
