Add core of usage and claims with the platform's clients

Usage rows were lost with their instance, and a retry with an idempotency key could run twice. The platform gets typed clients of the usage report interface and the object store, the stand-ins a server for each.

--- /dev/null
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/claim/package-info.java
@@ -0,0 +1,2 @@
+/** Idempotency claims: at most one run of a request with an idempotency key. */
+package io.fireflywalk.core.claim;
--- /dev/null
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/usage/UsageAmount.java
@@ -0,0 +1,35 @@
+package io.fireflywalk.core.usage;
+
+/**
+ * Amounts of usage.
+ *
+ * @param answers number of answers
+ * @param promptTokens prompt tokens
+ * @param generatedTokens generated tokens
+ */
+public record UsageAmount(long answers, long promptTokens, long generatedTokens) {
+    /** No usage. */
+    public static final UsageAmount ZERO = new UsageAmount(0, 0, 0);
+
+    /** Returns the sum. */
+    public UsageAmount plus(UsageAmount other) {
+        return new UsageAmount(
+                answers + other.answers, promptTokens + other.promptTokens, generatedTokens + other.generatedTokens);
+    }
+
+    /** Returns the larger figure of each field. */
+    public UsageAmount maximum(UsageAmount other) {
+        return new UsageAmount(
+                Math.max(answers, other.answers),
+                Math.max(promptTokens, other.promptTokens),
+                Math.max(generatedTokens, other.generatedTokens));
+    }
+
+    /** Returns what exceeds the other amount, at least 0 in each field. */
+    public UsageAmount excessOver(UsageAmount other) {
+        return new UsageAmount(
+                Math.max(0, answers - other.answers),
+                Math.max(0, promptTokens - other.promptTokens),
+                Math.max(0, generatedTokens - other.generatedTokens));
+    }
+}
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/usage/UsageRow.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/usage/UsageRow.java
@@ -1,34 +1,9 @@
 package io.fireflywalk.core.usage;
 
 /**
- * Cumulative usage of one instance incarnation.
+ * Cumulative usage of one key. Its figures only grow, so two versions merge by maximum.
  *
- * @param window number of the usage window
- * @param incarnation incarnation of the instance that served
- * @param clientAccount account that was served
- * @param service service that was used
- * @param answers number of answers
- * @param promptTokens prompt tokens
- * @param generatedTokens generated tokens
+ * @param key key of the row
+ * @param amount amounts since the start of the window
  */
-public record UsageRow(
-        long window,
-        String incarnation,
-        String clientAccount,
-        String service,
-        long answers,
-        long promptTokens,
-        long generatedTokens) {
-
-    /** Returns the sum of two rows of the same key. */
-    public UsageRow plus(UsageRow other) {
-        return new UsageRow(
-                window,
-                incarnation,
-                clientAccount,
-                service,
-                answers + other.answers,
-                promptTokens + other.promptTokens,
-                generatedTokens + other.generatedTokens);
-    }
-}
+public record UsageRow(UsageKey key, UsageAmount amount) {}
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/Daemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/Daemon.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import io.fireflywalk.core.membership.Member;
 import io.fireflywalk.core.routing.TargetSelector;
 import io.fireflywalk.daemon.configuration.ConfigurationWatcher;
 import io.fireflywalk.daemon.gateway.GatewayServer;
@@ -10,8 +11,11 @@
 import io.fireflywalk.daemon.gateway.TargetPool;
 import io.fireflywalk.daemon.operators.ConfigurationChanger;
 import io.fireflywalk.daemon.operators.OperatorServer;
+import io.fireflywalk.daemon.peer.MemberDirectory;
 import io.fireflywalk.daemon.peer.PeerServer;
 import io.fireflywalk.daemon.settings.DaemonSettings;
+import io.fireflywalk.daemon.usage.ReportAuthority;
+import io.fireflywalk.daemon.usage.UsageParts;
 import io.fireflywalk.daemon.usage.UsageRecorder;
 import io.fireflywalk.platform.configuration.ConfigurationRepository;
 import io.fireflywalk.platform.table.TableService;
@@ -23,6 +27,8 @@
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.PoolOptions;
 import java.time.Duration;
+import java.util.List;
+import java.util.OptionalLong;
 import java.util.UUID;
 import java.util.random.RandomGenerator;
 import org.jboss.logging.Logger;
@@ -36,6 +42,7 @@
     private final DaemonSettings settings;
     private final TimerService timers;
     private final ConfigurationWatcher watcher;
+    private final UsageParts accounting;
     private final UsageRecorder usage;
     private final GatewayServer gateway;
     private final OperatorServer operators;
@@ -43,6 +50,17 @@
     private boolean draining;
 
     public Daemon(Vertx vertx, DaemonSettings settings, TableService tables, TimerService timers) {
+        // Without a directory of members and leases, the instance is its own only member and reports nothing.
+        this(vertx, settings, tables, timers, List::of, range -> OptionalLong.empty());
+    }
+
+    public Daemon(
+            Vertx vertx,
+            DaemonSettings settings,
+            TableService tables,
+            TimerService timers,
+            MemberDirectory members,
+            ReportAuthority reportAuthority) {
         this.settings = settings;
         this.timers = timers;
         String incarnation = settings.instance().name() + "-" + UUID.randomUUID();
@@ -50,12 +68,17 @@
         ConfigurationRepository repository = new ConfigurationRepository(tables);
         this.watcher = new ConfigurationWatcher(
                 repository, timers, Duration.ofMillis(settings.configuration().pollMilliseconds()));
-        this.usage = new UsageRecorder(
-                tables,
-                timers,
+        Member self = new Member(
                 incarnation,
-                settings.usage().windowMilliseconds(),
-                Duration.ofMillis(settings.usage().flushMilliseconds()));
+                settings.instance().name(),
+                settings.instance().region(),
+                settings.instance().availabilityZone(),
+                settings.instance().host(),
+                settings.listen().peerPort());
+        this.peers = new PeerServer(vertx);
+        this.accounting =
+                UsageParts.create(vertx, settings, tables, timers, self, members, reportAuthority, peers, metrics);
+        this.usage = accounting.recorder();
         HttpClient client = vertx.createHttpClient(
                 new HttpClientOptions()
                         .setConnectTimeout((int) settings.targets().connectMilliseconds()),
@@ -75,7 +98,6 @@
                 tables,
                 metrics,
                 settings.operatorKeys());
-        this.peers = new PeerServer(vertx);
         metrics.register("requests_in_flight", (Gauge<Integer>) gateway::requestsInFlight);
         metrics.register(
                 "configuration_version", (Gauge<Long>) () -> watcher.snapshot().version());
@@ -84,7 +106,7 @@
     /** Starts all parts and returns the bound ports. */
     public Future<BoundPorts> start() {
         watcher.start();
-        usage.start();
+        accounting.start();
         String host = settings.instance().host();
         return gateway.listen(host, settings.listen().callerPort())
                 .compose(callerPort -> operators
@@ -114,7 +136,7 @@
                         .takeUntil(timers.after(drainLimit).toFlowable())
                         .ignoreElements())
                 .andThen(Completable.defer(() -> {
-                    usage.stop();
+                    accounting.stop();
                     watcher.stop();
                     return usage.flush().onErrorComplete();
                 }))
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/ModelRequestHandler.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/ModelRequestHandler.java
@@ -3,8 +3,10 @@
 import io.fireflywalk.core.configuration.Target;
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
+import io.fireflywalk.core.usage.UsageAmount;
 import io.fireflywalk.daemon.settings.DaemonSettings;
 import io.fireflywalk.daemon.usage.UsageRecorder;
+import io.reactivex.rxjava3.disposables.Disposable;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientResponse;
@@ -107,8 +109,10 @@
         });
         answer.endHandler(ignored -> {
             pool.attemptEnded(target);
-            usage.record(scope.clientAccount(), model.model(), scanner.promptTokens(), scanner.generatedTokens());
-            response.end();
+            UsageAmount amount = new UsageAmount(1, scanner.promptTokens(), scanner.generatedTokens());
+            Disposable unused = usage.record(
+                            scope.requestId(), scope.clientAccount(), model.model(), target.charge(), amount)
+                    .subscribe(response::end);
         });
     }
 
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/PlainRequestHandler.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/PlainRequestHandler.java
@@ -4,7 +4,9 @@
 import io.fireflywalk.core.configuration.Target;
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
+import io.fireflywalk.core.usage.UsageAmount;
 import io.fireflywalk.daemon.usage.UsageRecorder;
+import io.reactivex.rxjava3.disposables.Disposable;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpServerResponse;
@@ -50,7 +52,14 @@
                 .compose(answer -> forward(scope, answer))
                 .onSuccess(ignored -> {
                     pool.attemptEnded(target);
-                    usage.record(scope.clientAccount(), routed.service().name(), 0, 0);
+                    UsageAmount amount = new UsageAmount(1, 0, 0);
+                    Disposable unused = usage.record(
+                                    scope.requestId(),
+                                    scope.clientAccount(),
+                                    routed.service().name(),
+                                    target.charge(),
+                                    amount)
+                            .subscribe(() -> scope.request().response().end());
                 })
                 .onFailure(cause -> {
                     pool.attemptEnded(target);
@@ -69,6 +78,6 @@
         if (!response.headers().contains("content-length")) {
             response.setChunked(true);
         }
-        return answer.pipeTo(response);
+        return answer.pipe().endOnComplete(false).to(response);
     }
 }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/operators/OperatorServer.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/operators/OperatorServer.java
@@ -8,6 +8,7 @@
 import io.fireflywalk.core.usage.UsageRow;
 import io.fireflywalk.daemon.gateway.ErrorResponder;
 import io.fireflywalk.daemon.usage.UsageRecorder;
+import io.fireflywalk.daemon.usage.UsageWriter;
 import io.fireflywalk.operator.message.OperatorMessages;
 import io.fireflywalk.platform.codec.Codec;
 import io.fireflywalk.platform.configuration.ConfigurationFile;
@@ -119,7 +120,7 @@
         return tables.scan(UsageRecorder.TABLE, "", "", USAGE_LIMIT).map(rows -> {
             List<UsageRow> usage = new ArrayList<>();
             for (var row : rows) {
-                usage.add(Codec.json().read(row.value(), UsageRow.class, row.key()));
+                usage.addAll(UsageWriter.rowsOf(row));
             }
             return usage;
         });
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/settings/SettingsLoader.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/settings/SettingsLoader.java
@@ -90,6 +90,16 @@
         requirePositive(settings.targets().idlePooledMilliseconds(), "targets.idlePooledMilliseconds", problems);
         requirePositive(settings.usage().windowMilliseconds(), "usage.windowMilliseconds", problems);
         requirePositive(settings.usage().flushMilliseconds(), "usage.flushMilliseconds", problems);
+        requirePositive(settings.usage().fleetFlushesPerSecond(), "usage.fleetFlushesPerSecond", problems);
+        requirePositive(settings.usage().copyMilliseconds(), "usage.copyMilliseconds", problems);
+        requirePositive(settings.usage().maximumRows(), "usage.maximumRows", problems);
+        requirePositive(settings.usage().maximumCopiedRows(), "usage.maximumCopiedRows", problems);
+        requirePositive(settings.usage().reports().windowsPerRange(), "usage.reports.windowsPerRange", problems);
+        requirePositive(settings.usage().reports().correctionWindows(), "usage.reports.correctionWindows", problems);
+        requirePositive(settings.claims().shards(), "claims.shards", problems);
+        requirePositive(settings.claims().batchMilliseconds(), "claims.batchMilliseconds", problems);
+        requirePositive(settings.claims().deadlineMilliseconds(), "claims.deadlineMilliseconds", problems);
+        requirePositive(settings.claims().expiryHours(), "claims.expiryHours", problems);
         if (!problems.isEmpty()) {
             throw new FireflywalkException(ErrorKind.CONFIGURATION_INVALID, String.join("; ", problems), location);
         }
--- /dev/null
+++ b/fireflywalk-platform/src/main/java/io/fireflywalk/platform/http/HttpCaller.java
@@ -0,0 +1,57 @@
+package io.fireflywalk.platform.http;
+
+import io.fireflywalk.core.error.ErrorKind;
+import io.fireflywalk.core.error.FireflywalkException;
+import io.reactivex.rxjava3.core.Single;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import java.time.Duration;
+
+/** Calls one service of the platform over HTTP, each call with a deadline. Thread-safe. */
+public final class HttpCaller {
+    private static final int MAXIMUM_CONNECTIONS = 8;
+    private static final int MAXIMUM_WAITING_CALLS = 256;
+
+    private final HttpClient client;
+    private final String host;
+    private final int port;
+    private final Duration deadline;
+
+    public HttpCaller(Vertx vertx, String host, int port, Duration deadline) {
+        this.client = vertx.createHttpClient(
+                new HttpClientOptions().setConnectTimeout((int) deadline.toMillis()),
+                new PoolOptions().setHttp1MaxSize(MAXIMUM_CONNECTIONS).setMaxWaitQueueSize(MAXIMUM_WAITING_CALLS));
+        this.host = host;
+        this.port = port;
+        this.deadline = deadline;
+    }
+
+    /** Sends a request and emits the answer, or fails with an error of the kind when no answer arrives. */
+    public Single<Answer> call(HttpMethod method, String path, Buffer body, ErrorKind kindOnFailure) {
+        RequestOptions options = new RequestOptions()
+                .setMethod(method)
+                .setHost(host)
+                .setPort(port)
+                .setURI(path)
+                .setTimeout(deadline.toMillis())
+                .setIdleTimeout(deadline.toMillis());
+        return RxFutures.single(() -> send(options, body))
+                .onErrorResumeNext(cause ->
+                        Single.error(new FireflywalkException(kindOnFailure, "no answer: " + cause, path, cause)));
+    }
+
+    private Future<Answer> send(RequestOptions options, Buffer body) {
+        return client.request(options)
+                .compose(request -> request.send(body))
+                .compose(response -> response.body().map(content -> new Answer(response.statusCode(), content)));
+    }
+
+    /** Status and body of an answer. */
+    public record Answer(int status, Buffer body) {}
+}
--- a/fireflywalk-standin/src/main/java/io/fireflywalk/standin/StandinMain.java
+++ b/fireflywalk-standin/src/main/java/io/fireflywalk/standin/StandinMain.java
@@ -3,6 +3,7 @@
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
+import io.fireflywalk.platform.object.InMemoryObjectStore;
 import io.fireflywalk.platform.table.InMemoryTableService;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -39,11 +40,15 @@
         ListenOptions table = new ListenOptions();
         EngineOptions engine = new EngineOptions();
         ListenOptions plain = new ListenOptions();
+        ListenOptions reports = new ListenOptions();
+        ListenOptions objects = new ListenOptions();
         JCommander commander = JCommander.newBuilder()
                 .programName("fireflywalk-standin")
                 .addCommand("table-service", table)
                 .addCommand("model-engine", engine)
                 .addCommand("plain-service", plain)
+                .addCommand("usage-reports", reports)
+                .addCommand("object-store", objects)
                 .build();
         try {
             commander.parse(arguments);
@@ -65,6 +70,9 @@
                     case "model-engine" ->
                         new ModelEngineServer(vertx, engine.model, engine.modelVersion, engine.tokenMilliseconds)
                                 .listen(engine.host, engine.port);
+                    case "usage-reports" -> new UsageReportServer(vertx).listen(reports.host, reports.port);
+                    case "object-store" ->
+                        new ObjectStoreServer(vertx, new InMemoryObjectStore()).listen(objects.host, objects.port);
                     default -> new PlainServiceServer(vertx).listen(plain.host, plain.port);
                 };
         port.onSuccess(bound -> System.out.println("listening on port " + bound))
--- /dev/null
+++ b/fireflywalk-standin/src/main/java/io/fireflywalk/standin/UsageReportServer.java
@@ -0,0 +1,75 @@
+package io.fireflywalk.standin;
+
+import io.fireflywalk.core.error.FireflywalkException;
+import io.fireflywalk.platform.codec.Codec;
+import io.fireflywalk.platform.usage.UsageReportMessage;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/**
+ * Usage report interface that records every report received. {@code POST /faults/lost-answers?count=} makes it record
+ * reports without an answer, {@code POST /faults/outage?count=} makes it refuse them; {@code GET /received} lists them.
+ * Runs on one event loop.
+ */
+public final class UsageReportServer {
+    private final HttpServer server;
+    private final List<UsageReportMessage> received = new CopyOnWriteArrayList<>();
+    private int lostAnswers;
+    private int refusals;
+
+    public UsageReportServer(Vertx vertx) {
+        this.server = vertx.createHttpServer().requestHandler(this::handle);
+    }
+
+    /** Starts to listen and returns the bound port. */
+    public Future<Integer> listen(String host, int port) {
+        return server.listen(port, host).map(HttpServer::actualPort);
+    }
+
+    /** Returns every report received, repeated ones included. */
+    public List<UsageReportMessage> received() {
+        return List.copyOf(received);
+    }
+
+    private void handle(HttpServerRequest request) {
+        if (request.method().equals(HttpMethod.PUT) && request.path().startsWith("/v1/usage-reports/")) {
+            request.body().onSuccess(body -> take(request, body));
+        } else if (request.path().equals("/received")) {
+            request.response().end(Codec.json().write(received));
+        } else if (request.path().equals("/faults/lost-answers")) {
+            lostAnswers = Integer.parseInt(request.getParam("count", "0"));
+            request.response().end();
+        } else if (request.path().equals("/faults/outage")) {
+            refusals = Integer.parseInt(request.getParam("count", "0"));
+            request.response().end();
+        } else {
+            request.response().setStatusCode(404).end();
+        }
+    }
+
+    private void take(HttpServerRequest request, Buffer body) {
+        if (refusals > 0) {
+            refusals--;
+            request.response().setStatusCode(503).end();
+            return;
+        }
+        try {
+            received.add(Codec.json().read(body.toString(), UsageReportMessage.class, "request body"));
+        } catch (FireflywalkException exception) {
+            request.response().setStatusCode(400).end(exception.getMessage());
+            return;
+        }
+        if (lostAnswers > 0) {
+            lostAnswers--;
+            request.connection().close();
+            return;
+        }
+        request.response().end("{}");
+    }
+}
