--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/Daemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/Daemon.java
@@ -4,6 +4,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.fireflywalk.core.membership.Member;
 import io.fireflywalk.core.routing.TargetSelector;
+import io.fireflywalk.daemon.claim.ClaimParts;
 import io.fireflywalk.daemon.configuration.ConfigurationWatcher;
 import io.fireflywalk.daemon.gateway.GatewayServer;
 import io.fireflywalk.daemon.gateway.ModelRequestHandler;
@@ -44,6 +45,7 @@
     private final ConfigurationWatcher watcher;
     private final UsageParts accounting;
     private final UsageRecorder usage;
+    private final ClaimParts claims;
     private final GatewayServer gateway;
     private final OperatorServer operators;
     private final PeerServer peers;
@@ -79,6 +81,7 @@
         this.accounting =
                 UsageParts.create(vertx, settings, tables, timers, self, members, reportAuthority, peers, metrics);
         this.usage = accounting.recorder();
+        this.claims = ClaimParts.create(vertx, settings, tables, timers, self, members, peers, metrics);
         HttpClient client = vertx.createHttpClient(
                 new HttpClientOptions()
                         .setConnectTimeout((int) settings.targets().connectMilliseconds()),
@@ -89,7 +92,8 @@
                 settings,
                 watcher::snapshot,
                 new ModelRequestHandler(client, pool, usage, settings),
-                new PlainRequestHandler(client, pool, usage));
+                new PlainRequestHandler(
+                        client, pool, usage, claims.service(), settings.limits().bodyBytes()));
         this.operators = new OperatorServer(
                 vertx,
                 watcher::snapshot,
@@ -107,6 +111,7 @@
     public Future<BoundPorts> start() {
         watcher.start();
         accounting.start();
+        claims.start();
         String host = settings.instance().host();
         return gateway.listen(host, settings.listen().callerPort())
                 .compose(callerPort -> operators
@@ -137,6 +142,7 @@
                         .ignoreElements())
                 .andThen(Completable.defer(() -> {
                     accounting.stop();
+                    claims.stop();
                     watcher.stop();
                     return usage.flush().onErrorComplete();
                 }))
--- /dev/null
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/claim/ClaimSweeper.java
@@ -0,0 +1,114 @@
+package io.fireflywalk.daemon.claim;
+
+import io.fireflywalk.core.claim.ClaimRecord;
+import io.fireflywalk.core.claim.RendezvousOrder;
+import io.fireflywalk.core.claim.StoredAnswer;
+import io.fireflywalk.core.error.FireflywalkException;
+import io.fireflywalk.core.membership.Member;
+import io.fireflywalk.daemon.peer.MemberDirectory;
+import io.fireflywalk.platform.codec.Codec;
+import io.fireflywalk.platform.object.ObjectStore;
+import io.fireflywalk.platform.table.Row;
+import io.fireflywalk.platform.table.TableService;
+import io.fireflywalk.platform.table.Transaction;
+import io.fireflywalk.platform.time.TimerService;
+import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Observable;
+import io.reactivex.rxjava3.disposables.CompositeDisposable;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.UUID;
+import org.jboss.logging.Logger;
+
+/**
+ * Removes expired claims and their stored answers, one page of the table a period. The first member in rendezvous order
+ * sweeps; two sweepers are harmless, because each removal is conditional. Confined to one event loop.
+ */
+public final class ClaimSweeper {
+    private static final Logger LOG = Logger.getLogger(ClaimSweeper.class);
+    /** Two pages a second pass over a day's claims of the target size, 640 a second, in 18 hours. */
+    private static final int ROWS_PER_PAGE = 500;
+
+    private static final Duration PERIOD = Duration.ofMillis(600);
+    private static final long MILLISECONDS_PER_HOUR = 3_600_000;
+
+    private final TableService tables;
+    private final ObjectStore objects;
+    private final MemberDirectory members;
+    private final Member self;
+    private final TimerService timers;
+    private final ClaimLimits limits;
+    private final CompositeDisposable subscriptions = new CompositeDisposable();
+    private String cursor = "";
+
+    public ClaimSweeper(
+            TableService tables,
+            ObjectStore objects,
+            MemberDirectory members,
+            Member self,
+            TimerService timers,
+            ClaimLimits limits) {
+        this.tables = tables;
+        this.objects = objects;
+        this.members = members;
+        this.self = self;
+        this.timers = timers;
+        this.limits = limits;
+    }
+
+    /** Starts to sweep. */
+    public void start() {
+        subscriptions.add(timers.every(PERIOD)
+                .observeOn(timers.scheduler())
+                .concatMapCompletable(tick -> run().onErrorComplete(cause -> {
+                    LOG.warnf("event=claim_sweep_failed cause=\"%s\"", cause.getMessage());
+                    return true;
+                }))
+                .subscribe());
+    }
+
+    /** Stops. */
+    public void stop() {
+        subscriptions.clear();
+    }
+
+    /** Removes the expired claims of the next page. */
+    Completable run() {
+        return Completable.defer(() -> {
+            List<Member> order = RendezvousOrder.of("claim-sweep", members.liveMembers());
+            if (!order.isEmpty() && !order.get(0).incarnation().equals(self.incarnation())) {
+                return Completable.complete();
+            }
+            return tables.scan(ClaimCommitter.TABLE, "", cursor, ROWS_PER_PAGE)
+                    .observeOn(timers.scheduler())
+                    .flatMapCompletable(rows -> {
+                        cursor = rows.size() < ROWS_PER_PAGE
+                                ? ""
+                                : rows.get(rows.size() - 1).key();
+                        return removeExpired(rows);
+                    });
+        });
+    }
+
+    private Completable removeExpired(List<Row> rows) throws FireflywalkException {
+        long hour = timers.wallClockMilliseconds() / MILLISECONDS_PER_HOUR;
+        List<String> objectNames = new ArrayList<>();
+        Transaction.Builder builder = Transaction.builder(UUID.randomUUID().toString());
+        int expired = 0;
+        for (Row row : rows) {
+            ClaimRecord claim = Codec.json().read(row.value(), ClaimRecord.class, row.key());
+            if (hour - claim.hour() > limits.expiryHours()) {
+                claim.answer().flatMap(StoredAnswer::objectName).ifPresent(objectNames::add);
+                builder.expect(ClaimCommitter.TABLE, row.key(), row.version()).remove(ClaimCommitter.TABLE, row.key());
+                expired++;
+            }
+        }
+        if (expired == 0) {
+            return Completable.complete();
+        }
+        return Observable.fromIterable(objectNames)
+                .concatMapCompletable(objects::remove)
+                .andThen(tables.execute(builder.build()).ignoreElement());
+    }
+}
--- /dev/null
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/claim/RequestDigest.java
@@ -0,0 +1,23 @@
+package io.fireflywalk.daemon.claim;
+
+import io.vertx.core.buffer.Buffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/** Digest by which two requests under one idempotency key are compared. Stateless. */
+public final class RequestDigest {
+    private RequestDigest() {}
+
+    /** Returns the hexadecimal SHA-256 digest of method, URI and body. */
+    public static String of(String method, String uri, Buffer body) {
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            digest.update((method + ' ' + uri + '\n').getBytes(StandardCharsets.UTF_8));
+            return HexFormat.of().formatHex(digest.digest(body.getBytes()));
+        } catch (NoSuchAlgorithmException exception) {
+            throw new IllegalStateException("every Java platform has SHA-256", exception);
+        }
+    }
+}
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/usage/UsageCopier.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/usage/UsageCopier.java
@@ -160,12 +160,11 @@
         // A second pass takes peers of other regions, and a third those of a zone that is already chosen.
         for (Preference preference : Preference.values()) {
             for (Member member : order) {
-                boolean fits = preference == Preference.ANY
-                        || (preference == Preference.OTHER_ZONE
-                                        || member.region().equals(self.region()))
-                                && chosen.stream()
-                                        .noneMatch(other ->
-                                                other.availabilityZone().equals(member.availabilityZone()));
+                boolean near =
+                        preference == Preference.OTHER_ZONE || member.region().equals(self.region());
+                boolean newZone = chosen.stream()
+                        .noneMatch(other -> other.availabilityZone().equals(member.availabilityZone()));
+                boolean fits = preference == Preference.ANY || (near && newZone);
                 if (chosen.size() < COPIES
                         && fits
                         && !chosen.contains(member)
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/usage/UsageTables.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/usage/UsageTables.java
@@ -16,12 +16,10 @@
     /** Prefix of the notes that a window's report was received, ordered by window. */
     static final String SENT = "sent/";
 
-    private static final String NUMBER = "%019d";
-
     private UsageTables() {}
 
     static String number(long value) {
-        return String.format(Locale.ROOT, NUMBER, value);
+        return String.format(Locale.ROOT, "%019d", value);
     }
 
     static String windowPrefix(long window) {
