Book late usage until its window's segments are removed

A store outage longer than the correction limit made the reporter close all its windows at once on recovery, and rows flushed after that were older than the limit and left out. Late rows are now left out only if the segments of their own window are removed, which is noted in the table before the removal and waits for the correction time after the report. A reporter also closes nothing for twice the grace after a failed store call. A shutdown also flushes the copies of other owners.

--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/usage/FigureBuilder.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/usage/FigureBuilder.java
@@ -21,7 +21,6 @@
             .thenComparing(UsageFigure::charge);
 
     private final long window;
-    private final long oldestWindow;
     private final Map<UsageKey, UsageAmount> current = new HashMap<>();
     private final Map<UsageKey, UsageAmount> totals = new HashMap<>();
     private final Map<UsageKey, UsageAmount> late = new HashMap<>();
@@ -29,10 +28,9 @@
     private String incarnation = "";
     private long tooLate;
 
-    /** Starts the figures of a window; rows of windows before the oldest are counted as too late and left out. */
-    public FigureBuilder(long window, long oldestWindow) {
+    /** Starts the figures of a window. */
+    public FigureBuilder(long window) {
         this.window = window;
-        this.oldestWindow = oldestWindow;
     }
 
     /** Adds a flushed row of the window. */
@@ -41,9 +39,7 @@
             foldIncarnation();
             incarnation = row.key().incarnation();
         }
-        if (row.key().window() < oldestWindow) {
-            tooLate += row.amount().answers();
-        } else if (row.key().window() < window) {
+        if (row.key().window() < window) {
             late.merge(row.key(), row.amount(), UsageAmount::maximum);
         } else {
             current.merge(row.key(), row.amount(), UsageAmount::maximum);
@@ -64,7 +60,16 @@
         }
     }
 
-    /** Returns the answers in rows that came after the correction limit. */
+    /** Leaves out the late rows of windows whose own rows are removed, because their earlier amounts are not known. */
+    public void leaveOutThrough(long removedThrough) {
+        late.entrySet().removeIf(entry -> {
+            boolean removed = entry.getKey().window() <= removedThrough;
+            tooLate += removed ? entry.getValue().answers() : 0;
+            return removed;
+        });
+    }
+
+    /** Returns the answers in rows that were left out. */
     public long tooLate() {
         return tooLate;
     }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/Daemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/Daemon.java
@@ -43,6 +43,7 @@
     private final DaemonSettings settings;
     private final TimerService timers;
     private final ConfigurationWatcher watcher;
+    private final String incarnation;
     private final UsageParts accounting;
     private final UsageRecorder usage;
     private final ClaimParts claims;
@@ -65,7 +66,7 @@
             ReportAuthority reportAuthority) {
         this.settings = settings;
         this.timers = timers;
-        String incarnation = settings.instance().name() + "-" + UUID.randomUUID();
+        this.incarnation = settings.instance().name() + "-" + UUID.randomUUID();
         MetricRegistry metrics = new MetricRegistry();
         ConfigurationRepository repository = new ConfigurationRepository(tables);
         this.watcher = new ConfigurationWatcher(
@@ -124,6 +125,11 @@
                         settings.instance().name(), ports.callerPort(), ports.operatorPort(), ports.peerPort()));
     }
 
+    /** Returns the identifier of this run. */
+    public String incarnation() {
+        return incarnation;
+    }
+
     /** Tells whether the balancer should send callers to this instance. */
     public boolean isReady() {
         return !draining && watcher.snapshot().version() > 0;
@@ -144,7 +150,7 @@
                     accounting.stop();
                     claims.stop();
                     watcher.stop();
-                    return usage.flush().onErrorComplete();
+                    return accounting.flush().onErrorComplete();
                 }))
                 .doOnComplete(() -> LOG.infof(
                         "event=stopped instance=%s", settings.instance().name()));
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/usage/UsageCopyHolder.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/usage/UsageCopyHolder.java
@@ -66,6 +66,15 @@
         subscriptions.clear();
     }
 
+    /** Writes the copies that are held, once, because an instance that shuts down holds them no longer. */
+    public Completable flush() {
+        return Completable.defer(() -> {
+            List<UsageRow> held = copies.due(
+                    Set.of(), timers.monotonicNanoseconds(), new UsageCopies.Silence(-1, -1), ROWS_PER_FLUSH);
+            return writer.write(held).observeOn(timers.scheduler()).doOnComplete(() -> copies.flushed(held));
+        });
+    }
+
     /** Takes a message of an owner. */
     public Single<UsageMessages.CopiesAnswer> accept(UsageMessages.Copies message) {
         return Single.fromCallable(() -> new UsageMessages.CopiesAnswer(copies.accept(
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/usage/UsageFreezer.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/usage/UsageFreezer.java
@@ -105,13 +105,17 @@
     }
 
     private Single<UsageReport> compute(long window) {
-        FigureBuilder builder = new FigureBuilder(window, window - limits.correctionWindows());
+        FigureBuilder builder = new FigureBuilder(window);
         return forEachRow(UsageTables.windowPrefix(window), "", builder::add)
                 .andThen(Completable.defer(() -> addBooked(builder, window)))
-                .andThen(Single.fromCallable(() -> {
+                // Read after the earlier amounts: rows that are removed from now on were read in full.
+                .andThen(Single.defer(() -> tables.read(UsageTables.REPORTS, UsageTables.REMOVED_THROUGH)))
+                .map(removed -> {
+                    builder.leaveOutThrough(
+                            removed.map(row -> Long.parseLong(row.value())).orElse(Long.MIN_VALUE));
                     tooLate.inc(builder.tooLate());
                     return builder.build(limits.window().toMillis());
-                }));
+                });
     }
 
     private Completable addBooked(FigureBuilder builder, long window) {
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/usage/UsageParts.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/usage/UsageParts.java
@@ -9,6 +9,7 @@
 import io.fireflywalk.platform.table.TableService;
 import io.fireflywalk.platform.time.TimerService;
 import io.fireflywalk.platform.usage.HttpUsageReportService;
+import io.reactivex.rxjava3.core.Completable;
 import io.vertx.core.Vertx;
 import java.time.Duration;
 
@@ -80,6 +81,11 @@
         retention.start();
     }
 
+    /** Writes own rows and the copies of other owners' rows that the table service may lack. */
+    public Completable flush() {
+        return recorder.flush().andThen(holder.flush());
+    }
+
     /** Stops all parts; the caller flushes once more. */
     public void stop() {
         recorder.stop();
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/usage/UsageRecorder.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/usage/UsageRecorder.java
@@ -4,6 +4,7 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
+import io.fireflywalk.core.claim.RendezvousOrder;
 import io.fireflywalk.core.configuration.TargetCharge;
 import io.fireflywalk.core.membership.Member;
 import io.fireflywalk.core.usage.CopiedRow;
@@ -36,7 +37,8 @@
     private static final Logger LOG = Logger.getLogger(UsageRecorder.class);
     private static final int ROWS_PER_FLUSH = 2048;
     private static final int REMEMBERED_REQUESTS = 16_384;
-    private static final int MAXIMUM_BACKOFF_FACTOR = 16;
+    private static final int MAXIMUM_BACKOFF_FACTOR = 4;
+    private static final int JITTER_STEPS = 1000;
     private static final int FINAL_FLUSHES = 16;
     private static final Duration TICK = Duration.ofMillis(100);
 
@@ -59,6 +61,7 @@
     private final Timer heldTime;
     private boolean expiryScheduled;
     private boolean flushing;
+    private long flushes;
     private int failedFlushes;
     private long lastFlushNanoseconds;
 
@@ -80,7 +83,6 @@
         this.exposed = metrics.counter("usage_exposed_answers");
         this.heldTime = metrics.timer("usage_answer_hold");
         metrics.gauge("usage_rows", () -> (Gauge<Integer>) ledger::size);
-        // Spreads the first flushes of instances that start together.
         this.lastFlushNanoseconds = timers.monotonicNanoseconds();
     }
 
@@ -151,10 +153,11 @@
         copier.refresh();
         copier.changed();
         long elapsed = timers.monotonicNanoseconds() - lastFlushNanoseconds;
-        if (flushing || elapsed < interval().toNanos()) {
+        if (flushing || elapsed < interval().toNanos() * (1 + jitter())) {
             return;
         }
         flushing = true;
+        flushes++;
         lastFlushNanoseconds = timers.monotonicNanoseconds();
         subscriptions.add(flush(1).doFinally(() -> flushing = false).subscribe(() -> failedFlushes = 0, cause -> {
             failedFlushes++;
@@ -162,6 +165,12 @@
         }));
     }
 
+    /** Returns -0.25 to 0.25, another one for each flush, so that instances that start together do not stay in step. */
+    private double jitter() {
+        long hash = RendezvousOrder.hash(self.incarnation() + flushes);
+        return Math.floorMod(hash, JITTER_STEPS) / (2.0 * JITTER_STEPS) - 0.25;
+    }
+
     private Duration interval() {
         int fleet = members.liveMembers().size();
         Duration regular = limits.flushInterval(fleet);
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/usage/UsageReporter.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/usage/UsageReporter.java
@@ -50,6 +50,7 @@
     private final CompositeDisposable subscriptions = new CompositeDisposable();
     private int failures;
     private int runsToSkip;
+    private long lastFailureNanoseconds;
 
     public UsageReporter(
             TableService tables,
@@ -65,6 +66,7 @@
         this.timers = timers;
         this.limits = limits;
         this.late = metrics.counter("usage_reports_late");
+        this.lastFailureNanoseconds = timers.monotonicNanoseconds();
         this.sends = metrics.counter("usage_report_sends");
     }
 
@@ -92,7 +94,11 @@
             if (held.isEmpty()) {
                 return Completable.complete();
             }
-            return freezer.closeThrough(lastDue)
+            // Instances flush their backlog after an outage of the table service before its windows are closed.
+            boolean recovering = timers.monotonicNanoseconds() - lastFailureNanoseconds
+                    < 2 * limits.grace().toNanos();
+            return freezer.closeThrough(recovering ? Long.MIN_VALUE : lastDue)
+                    .doOnError(cause -> lastFailureNanoseconds = timers.monotonicNanoseconds())
                     .observeOn(timers.scheduler())
                     .flatMapCompletable(closed -> closed.isEmpty()
                             ? Completable.complete()
@@ -179,7 +185,7 @@
         String key = UsageTables.sent(range, window);
         Transaction transaction = Transaction.builder(UUID.randomUUID().toString())
                 .expect(UsageTables.REPORTS, key, 0)
-                .put(UsageTables.REPORTS, key, "sent")
+                .put(UsageTables.REPORTS, key, Long.toString(timers.wallClockMilliseconds()))
                 .build();
         // A conflict means that the window is already noted.
         return tables.execute(transaction).ignoreElement();
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/usage/UsageRetention.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/usage/UsageRetention.java
@@ -1,5 +1,7 @@
 package io.fireflywalk.daemon.usage;
 
+import io.fireflywalk.core.error.ErrorKind;
+import io.fireflywalk.core.error.FireflywalkException;
 import io.fireflywalk.platform.table.Row;
 import io.fireflywalk.platform.table.TableService;
 import io.fireflywalk.platform.table.Transaction;
@@ -66,18 +68,47 @@
         if (oldest >= now - limits.correctionWindows() - 1) {
             return Completable.complete();
         }
-        // A window's rows are the base of corrections in the windows after it, so all of those must be reported.
+        // A window's rows are the base of corrections in the windows after it, so all of those must be reported, and
+        // instances that were cut off until then must have had time to flush.
         String before = UsageTables.sent(limits.rangeOf(oldest - 1), oldest - 1);
         int needed = limits.correctionWindows() + 1;
         return tables.scan(UsageTables.REPORTS, UsageTables.SENT, before, needed)
                 .flatMapCompletable(sent -> {
-                    String last = UsageTables.sent(limits.rangeOf(oldest + needed - 1), oldest + needed - 1);
+                    long lastWindow = oldest + needed - 1;
+                    String last = UsageTables.sent(limits.rangeOf(lastWindow), lastWindow);
                     boolean complete =
                             sent.size() == needed && sent.get(needed - 1).key().equals(last);
-                    return complete ? removeRowsOf(oldest) : Completable.complete();
+                    long correctionTime = limits.window().toMillis() * limits.correctionWindows();
+                    return complete
+                                    && timers.wallClockMilliseconds()
+                                                    - Long.parseLong(
+                                                            sent.get(needed - 1).value())
+                                            > correctionTime
+                            ? noteRemoval(oldest).andThen(Completable.defer(() -> removeRowsOf(oldest)))
+                            : Completable.complete();
                 });
     }
 
+    private Completable noteRemoval(long window) {
+        return tables.read(UsageTables.REPORTS, UsageTables.REMOVED_THROUGH).flatMapCompletable(row -> {
+            if (row.isPresent() && Long.parseLong(row.get().value()) >= window) {
+                return Completable.complete();
+            }
+            Transaction transaction = Transaction.builder(UUID.randomUUID().toString())
+                    .expect(
+                            UsageTables.REPORTS,
+                            UsageTables.REMOVED_THROUGH,
+                            row.map(Row::version).orElse(0L))
+                    .put(UsageTables.REPORTS, UsageTables.REMOVED_THROUGH, Long.toString(window))
+                    .build();
+            return tables.execute(transaction)
+                    .flatMapCompletable(result -> result.committed()
+                            ? Completable.complete()
+                            : Completable.error(new FireflywalkException(
+                                    ErrorKind.VERSION_CONFLICT, "another process removes rows", "usage retention")));
+        });
+    }
+
     private Completable removeRowsOf(long window) {
         return tables.scan(UsageTables.USAGE, UsageTables.windowPrefix(window), "", ROWS_PER_TRANSACTION)
                 .flatMapCompletable(rows -> remove(rows, window));
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/usage/UsageTables.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/usage/UsageTables.java
@@ -13,6 +13,8 @@
     /** Row with the first and last closed window. */
     static final String CLOSED_RANGE = "closed-range";
 
+    /** Row with the last window whose segments may be removed. */
+    static final String REMOVED_THROUGH = "removed-through";
     /** Prefix of the notes that a window's report was received, ordered by window. */
     static final String SENT = "sent/";
 
