--- /dev/null
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/endtoend/UsageKillTest.java
@@ -0,0 +1,204 @@
+package io.fireflywalk.daemon.endtoend;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.fireflywalk.core.configuration.ApiKey;
+import io.fireflywalk.core.configuration.ClientAccount;
+import io.fireflywalk.core.configuration.ConfigurationDocument;
+import io.fireflywalk.core.configuration.DocumentChange;
+import io.fireflywalk.core.configuration.OrderChecking;
+import io.fireflywalk.core.configuration.Service;
+import io.fireflywalk.core.configuration.ServiceType;
+import io.fireflywalk.core.configuration.Target;
+import io.fireflywalk.core.configuration.TargetCharge;
+import io.fireflywalk.core.security.SecretDigest;
+import io.fireflywalk.core.usage.UsageFigure;
+import io.fireflywalk.core.usage.UsageReport;
+import io.fireflywalk.platform.configuration.ChangeRecord;
+import io.fireflywalk.platform.configuration.ConfigurationRepository;
+import io.fireflywalk.platform.configuration.DocumentCodec;
+import io.fireflywalk.platform.table.InMemoryTableService;
+import io.fireflywalk.platform.table.Transaction;
+import io.fireflywalk.platform.table.TransactionResult;
+import io.fireflywalk.platform.usage.UsageReportMessage;
+import io.fireflywalk.standin.ModelEngineServer;
+import io.fireflywalk.standin.TableServiceServer;
+import io.fireflywalk.standin.UsageReportServer;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Guards usage against kill -9 of an instance under load: reports cover every answer that a caller received. */
+class UsageKillTest {
+    private static final String HOST = "127.0.0.1";
+    private static final int TOKENS = 5;
+    private static final int CALLERS = 8;
+    private static final long LOAD_MILLISECONDS = 4000;
+    private static final long REPORT_WAIT_MILLISECONDS = 40_000;
+
+    @TempDir
+    private Path directory;
+
+    private final InMemoryTableService tables = new InMemoryTableService();
+    private final AtomicInteger sent = new AtomicInteger();
+    private final AtomicInteger received = new AtomicInteger();
+    private final AtomicBoolean stopped = new AtomicBoolean();
+
+    @Test
+    void reportsCoverWhatCallersReceivedFromAnInstanceThatIsKilled() throws Exception {
+        Vertx vertx = Vertx.vertx();
+        UsageReportServer reports = new UsageReportServer(vertx);
+        int reportPort = port(reports.listen(HOST, 0));
+        int tablePort = port(new TableServiceServer(vertx, tables).listen(HOST, 0));
+        configure(port(new ModelEngineServer(vertx, "draft", "1", 1).listen(HOST, 0)));
+        try (ChildProcess first = instance("first", "zone-a", tablePort, reportPort, false);
+                ChildProcess second = instance("second", "zone-b", tablePort, reportPort, false);
+                ChildProcess third = instance("third", "zone-c", tablePort, reportPort, true)) {
+            int firstPort = first.awaitNumber("port (\\d+)");
+            int secondPort = second.awaitNumber("port (\\d+)");
+            third.awaitNumber("port (\\d+)");
+            awaitServing(firstPort);
+            awaitServing(secondPort);
+            List<Thread> callers = new ArrayList<>();
+            for (int i = 0; i < CALLERS; i++) {
+                int callerPort = i % 2 == 0 ? firstPort : secondPort;
+                Thread caller = new Thread(() -> callUntilStopped(callerPort));
+                caller.start();
+                callers.add(caller);
+            }
+            TimeUnit.MILLISECONDS.sleep(LOAD_MILLISECONDS);
+            first.kill();
+            TransactionResult left = tables.execute(Transaction.builder("leave")
+                            .remove(UsageInstanceMain.MEMBERS, "first")
+                            .build())
+                    .blockingGet();
+            assertTrue(left.committed());
+            TimeUnit.MILLISECONDS.sleep(LOAD_MILLISECONDS / 2);
+            stopped.set(true);
+            for (Thread caller : callers) {
+                caller.join();
+            }
+            long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(REPORT_WAIT_MILLISECONDS);
+            while (reportedTokens(reports) < (long) received.get() * TOKENS && System.nanoTime() < deadline) {
+                TimeUnit.MILLISECONDS.sleep(200);
+            }
+            // Gives doubled amounts the time to appear.
+            TimeUnit.SECONDS.sleep(4);
+            String figures = "sent " + sent + ", received " + received + ", reported tokens " + reportedTokens(reports);
+            System.out.println("usage after kill -9: " + figures);
+            assertTrue(received.get() > 100, figures);
+            assertTrue(reportedTokens(reports) >= (long) received.get() * TOKENS, figures);
+            assertTrue(reportedTokens(reports) <= (long) sent.get() * TOKENS, figures);
+        } finally {
+            vertx.close();
+        }
+    }
+
+    private void callUntilStopped(int port) {
+        HttpClient client = HttpClient.newHttpClient();
+        while (!stopped.get()) {
+            try {
+                sent.incrementAndGet();
+                HttpResponse<String> answer = call(client, port);
+                if (answer.statusCode() == 200 && answer.body().endsWith("data: [DONE]\n\n")) {
+                    received.incrementAndGet();
+                }
+            } catch (IOException exception) {
+                return;
+            } catch (InterruptedException exception) {
+                throw new IllegalStateException(exception);
+            }
+        }
+    }
+
+    private static HttpResponse<String> call(HttpClient client, int port) throws IOException, InterruptedException {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + HOST + ":" + port + "/v1/chat/completions"))
+                .header("authorization", "Bearer morning.secret")
+                .POST(HttpRequest.BodyPublishers.ofString(
+                        "{\"model\":\"draft\",\"stream\":true,\"max_tokens\":" + TOKENS + ",\"messages\":[]}"))
+                .build();
+        return client.send(request, HttpResponse.BodyHandlers.ofString());
+    }
+
+    private void awaitServing(int port) throws IOException, InterruptedException {
+        HttpClient client = HttpClient.newHttpClient();
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + HOST + ":" + port + "/v1/models"))
+                .header("authorization", "Bearer morning.secret")
+                .build();
+        while (client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode() != 200) {
+            TimeUnit.MILLISECONDS.sleep(50);
+        }
+    }
+
+    private static long reportedTokens(UsageReportServer reports) {
+        Map<Long, UsageReport> byWindow = new HashMap<>();
+        for (UsageReportMessage message : reports.received()) {
+            UsageReport before = byWindow.putIfAbsent(message.report().window(), message.report());
+            assertTrue(before == null || before.equals(message.report()), "a window has two figures");
+        }
+        return byWindow.values().stream()
+                .flatMap(report -> Stream.concat(report.figures().stream(), report.corrections().stream()))
+                .map(UsageFigure::amount)
+                .mapToLong(amount -> amount.generatedTokens())
+                .sum();
+    }
+
+    private ChildProcess instance(String name, String zone, int tablePort, int reportPort, boolean isReporter)
+            throws IOException {
+        Path settings =
+                Files.writeString(directory.resolve(name + ".yaml"), """
+                instance: {name: %s, availabilityZone: %s}
+                listen: {callerPort: 0, operatorPort: 0, peerPort: 0}
+                tableService: {port: %d}
+                usage:
+                  windowMilliseconds: 2000
+                  reports: {port: %d, graceMilliseconds: 3000}
+                """.formatted(name, zone, tablePort, reportPort));
+        Path log = directory.resolve(name + ".log");
+        return ChildProcess.start(log, UsageInstanceMain.class, settings.toString(), Boolean.toString(isReporter));
+    }
+
+    private void configure(int enginePort) {
+        List<ConfigurationDocument> documents = List.of(
+                new ClientAccount("county", 1, 100),
+                new ApiKey("morning", "county", SecretDigest.of("secret"), false),
+                new Service("draft", ServiceType.MODEL, List.of(), 60_000, 1),
+                new Target(
+                        "draft-1",
+                        "draft",
+                        HOST,
+                        enginePort,
+                        "zone-a",
+                        "1",
+                        TargetCharge.REGULAR,
+                        OrderChecking.CHECKS_FENCING_TOKEN,
+                        false));
+        List<DocumentChange> changes =
+                documents.stream().map(DocumentChange::put).toList();
+        ChangeRecord entry = new ChangeRecord(1, "test", "test", 0, DocumentCodec.toMessages(changes));
+        new ConfigurationRepository(tables)
+                .commit("test", 0, changes, entry)
+                .ignoreElement()
+                .blockingAwait();
+    }
+
+    private static int port(Future<Integer> listening) throws Exception {
+        return listening.toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+    }
+}
