--- /dev/null
+++ b/fireflywalk-benchmark/src/main/java/io/fireflywalk/benchmark/usage/CountingTableService.java
@@ -0,0 +1,71 @@
+package io.fireflywalk.benchmark.usage;
+
+import io.fireflywalk.platform.table.Row;
+import io.fireflywalk.platform.table.RowWrite;
+import io.fireflywalk.platform.table.TableService;
+import io.fireflywalk.platform.table.Transaction;
+import io.fireflywalk.platform.table.TransactionResult;
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.core.Single;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/** Table service that counts and forgets what it is given, and answers after a fixed time. */
+final class CountingTableService implements TableService {
+    private final Scheduler scheduler;
+    private final long answerMilliseconds;
+    private long transactions;
+    private long rows;
+    private long bytes;
+
+    CountingTableService(Scheduler scheduler, long answerMilliseconds) {
+        this.scheduler = scheduler;
+        this.answerMilliseconds = answerMilliseconds;
+    }
+
+    @Override
+    public Single<TransactionResult> execute(Transaction transaction) {
+        return Single.defer(() -> {
+            transactions++;
+            rows += transaction.writes().size();
+            for (RowWrite write : transaction.writes()) {
+                bytes += write.value().map(String::length).orElse(0);
+            }
+            return later(TransactionResult.success());
+        });
+    }
+
+    @Override
+    public Single<Optional<Row>> read(String table, String key) {
+        return later(Optional.empty());
+    }
+
+    @Override
+    public Single<List<Row>> scan(String table, String prefix, String after, int limit) {
+        return later(List.of());
+    }
+
+    void reset() {
+        transactions = 0;
+        rows = 0;
+        bytes = 0;
+    }
+
+    long transactions() {
+        return transactions;
+    }
+
+    long rows() {
+        return rows;
+    }
+
+    long bytes() {
+        return bytes;
+    }
+
+    private <T> Single<T> later(T value) {
+        return Single.timer(answerMilliseconds, TimeUnit.MILLISECONDS, scheduler)
+                .map(tick -> value);
+    }
+}
--- /dev/null
+++ b/fireflywalk-benchmark/src/main/java/io/fireflywalk/benchmark/usage/HoldMeasurement.java
@@ -0,0 +1,177 @@
+package io.fireflywalk.benchmark.usage;
+
+import com.codahale.metrics.MetricRegistry;
+import io.fireflywalk.core.configuration.TargetCharge;
+import io.fireflywalk.core.error.FireflywalkException;
+import io.fireflywalk.core.membership.Member;
+import io.fireflywalk.core.usage.UsageAmount;
+import io.fireflywalk.daemon.peer.PeerServer;
+import io.fireflywalk.daemon.settings.DaemonSettings;
+import io.fireflywalk.daemon.settings.SettingsLoader;
+import io.fireflywalk.daemon.usage.UsageMessages;
+import io.fireflywalk.daemon.usage.UsageParts;
+import io.fireflywalk.platform.table.InMemoryTableService;
+import io.fireflywalk.platform.time.VertxTimerService;
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.disposables.Disposable;
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.ConcurrentHistogram;
+
+/** Time that the end of an answer waits, with real peer messages over loopback, from the intended time of recording. */
+final class HoldMeasurement {
+    private static final String HOST = "127.0.0.1";
+    private static final long HIGHEST_MICROSECONDS = 60_000_000;
+    private static final int SETTLE_SECONDS = 2;
+    private static final int SETTLED_MILLISECONDS = 500;
+
+    private final Vertx vertx = Vertx.vertx();
+    private final List<Member> members = new CopyOnWriteArrayList<>();
+    private final List<Instance> instances = new ArrayList<>();
+    private final ConcurrentHistogram hold = new ConcurrentHistogram(HIGHEST_MICROSECONDS, 3);
+
+    private HoldMeasurement() {}
+
+    static void run(int instances, int rate, int seconds, int repeats) throws Exception {
+        HoldMeasurement measurement = new HoldMeasurement();
+        for (int i = 0; i < instances; i++) {
+            measurement.startInstance(i);
+        }
+        for (int repeat = 1; repeat <= repeats; repeat++) {
+            // The first instance's server stops answering in every other run, while the members still list it.
+            for (boolean silentPeer : new boolean[] {false, true}) {
+                measurement.measure(rate, seconds, repeat, silentPeer);
+            }
+        }
+    }
+
+    private void startInstance(int number) throws Exception {
+        Context context = vertx.getOrCreateContext();
+        CompletableFuture<Void> started = new CompletableFuture<>();
+        Instance instance = new Instance(context);
+        context.runOnContext(ignored -> instance.listen(number, started));
+        started.get(10, TimeUnit.SECONDS);
+        instances.add(instance);
+    }
+
+    private void measure(int rate, int seconds, int repeat, boolean silentPeer) throws InterruptedException {
+        instances.get(0).silent = silentPeer;
+        long exposedBefore = exposed();
+        drive(rate, SETTLE_SECONDS);
+        TimeUnit.MILLISECONDS.sleep(SETTLED_MILLISECONDS);
+        if (!silentPeer) {
+            exposedBefore = exposed();
+            hold.reset();
+        }
+        drive(rate, seconds);
+        TimeUnit.MILLISECONDS.sleep(SETTLED_MILLISECONDS);
+        System.out.println(String.format(
+                Locale.ROOT,
+                "repeat=%d silent_peer=%s instances=%d answers=%d hold_ms p50=%.2f p95=%.2f p99=%.2f max=%.2f exposed=%d",
+                repeat,
+                silentPeer,
+                instances.size(),
+                hold.getTotalCount(),
+                hold.getValueAtPercentile(50) / 1000.0,
+                hold.getValueAtPercentile(95) / 1000.0,
+                hold.getValueAtPercentile(99) / 1000.0,
+                hold.getMaxValue() / 1000.0,
+                exposed() - exposedBefore));
+        hold.reset();
+    }
+
+    private void drive(int rate, int seconds) throws InterruptedException {
+        VertxTimerService clock = new VertxTimerService(vertx, instances.get(0).context);
+        long start = clock.monotonicNanoseconds();
+        long gap = TimeUnit.SECONDS.toNanos(1) / rate;
+        for (long i = 0; i < (long) rate * seconds; i++) {
+            long intended = start + i * gap;
+            long wait = intended - clock.monotonicNanoseconds();
+            if (wait > 0) {
+                TimeUnit.NANOSECONDS.sleep(wait);
+            }
+            // The silent instance takes no requests itself.
+            Instance instance = instances.get(1 + (int) (i % (instances.size() - 1)));
+            long number = i;
+            instance.context.runOnContext(ignored -> instance.serve(intended, number));
+        }
+    }
+
+    private long exposed() {
+        return instances.stream()
+                .mapToLong(instance ->
+                        instance.metrics.counter("usage_exposed_answers").getCount())
+                .sum();
+    }
+
+    private final class Instance {
+        private final Context context;
+        private final MetricRegistry metrics = new MetricRegistry();
+        private final VertxTimerService timers;
+        private UsageParts parts;
+        private volatile boolean silent;
+
+        Instance(Context context) {
+            this.context = context;
+            this.timers = new VertxTimerService(vertx, context);
+        }
+
+        void listen(int number, CompletableFuture<Void> bound) {
+            try {
+                DaemonSettings settings = SettingsLoader.defaults();
+                Member self = new Member("i" + number, "i" + number, "region", "zone-" + number % 4, HOST, 0);
+                PeerServer peers = new PeerServer(vertx);
+                parts = UsageParts.create(
+                        vertx,
+                        settings,
+                        new InMemoryTableService(),
+                        timers,
+                        self,
+                        () -> members,
+                        range -> OptionalLong.empty(),
+                        peers,
+                        metrics);
+                // Replaces the call of the parts with one that can be silent.
+                peers.addCall(
+                        UsageMessages.PATH,
+                        UsageMessages.Copies.class,
+                        message -> silent ? Single.never() : parts.holder().accept(message));
+                parts.start();
+                peers.listen(HOST, 0)
+                        .onComplete(
+                                port -> {
+                                    members.add(new Member(
+                                            self.incarnation(),
+                                            self.instance(),
+                                            "region",
+                                            self.availabilityZone(),
+                                            HOST,
+                                            port));
+                                    bound.complete(null);
+                                },
+                                bound::completeExceptionally);
+            } catch (FireflywalkException exception) {
+                bound.completeExceptionally(exception);
+            }
+        }
+
+        void serve(long intended, long number) {
+            Disposable unused = parts.recorder()
+                    .record(
+                            "r" + number + "-" + intended,
+                            "account-" + number % 8,
+                            "draft",
+                            TargetCharge.REGULAR,
+                            new UsageAmount(1, 500, 100))
+                    .subscribe(() -> hold.recordValue(Math.min(
+                            HIGHEST_MICROSECONDS, Math.max(0, (timers.monotonicNanoseconds() - intended) / 1000))));
+        }
+    }
+}
--- /dev/null
+++ b/fireflywalk-benchmark/src/main/java/io/fireflywalk/benchmark/usage/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements of usage and idempotency claims. */
+package io.fireflywalk.benchmark.usage;
