--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/Daemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/Daemon.java
@@ -2,8 +2,15 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import io.fireflywalk.core.configuration.ConfigurationSnapshot;
+import io.fireflywalk.core.configuration.ServiceType;
+import io.fireflywalk.core.configuration.Target;
+import io.fireflywalk.core.lease.LeaseUnit;
 import io.fireflywalk.core.membership.Member;
 import io.fireflywalk.core.routing.TargetSelector;
+import io.fireflywalk.daemon.authority.AuthoritySettings;
+import io.fireflywalk.daemon.authority.LeaseKeeper;
+import io.fireflywalk.daemon.claim.ClaimParts;
 import io.fireflywalk.daemon.configuration.Coordination;
 import io.fireflywalk.daemon.gateway.GatewayContext;
 import io.fireflywalk.daemon.gateway.GatewayServer;
@@ -16,7 +23,7 @@
 import io.fireflywalk.daemon.peer.PeerClient;
 import io.fireflywalk.daemon.peer.PeerServer;
 import io.fireflywalk.daemon.settings.DaemonSettings;
-import io.fireflywalk.daemon.usage.UsageRecorder;
+import io.fireflywalk.daemon.usage.UsageParts;
 import io.fireflywalk.operator.message.StatusTable;
 import io.fireflywalk.platform.instance.InstanceList;
 import io.fireflywalk.platform.table.ResolvingTableService;
@@ -29,7 +36,9 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.UUID;
 import java.util.random.RandomGenerator;
@@ -44,7 +53,9 @@
     private final DaemonSettings settings;
     private final TimerService timers;
     private final Coordination coordination;
-    private final UsageRecorder usage;
+    private final LeaseKeeper leases;
+    private final UsageParts usage;
+    private final ClaimParts claims;
     private final GatewayServer gateway;
     private final OperatorServer operators;
     private final PeerServer peers;
@@ -63,9 +74,10 @@
         String incarnation = settings.instance().name() + "-" + UUID.randomUUID();
         MetricRegistry metrics = new MetricRegistry();
         TableService tables = resolvingTables(tableService, metrics);
+        Member self = self(incarnation);
         this.peers = new PeerServer(vertx);
         this.coordination = new Coordination(
-                self(incarnation),
+                self,
                 tables,
                 InstanceList.empty(),
                 new PeerClient(vertx, PEER_CONNECT_TIMEOUT),
@@ -74,12 +86,19 @@
                 Duration.ofMillis(settings.configuration().pollMilliseconds()),
                 Duration.ofMillis(settings.configuration().freshnessLimitMilliseconds()));
         coordination.register(peers);
-        this.usage = new UsageRecorder(
+        this.leases = new LeaseKeeper(
+                incarnation,
+                AuthoritySettings.defaults(),
                 tables,
                 timers,
-                incarnation,
-                settings.usage().windowMilliseconds(),
-                Duration.ofMillis(settings.usage().flushMilliseconds()));
+                RandomGenerator.getDefault(),
+                metrics,
+                this::leaseUnits,
+                this::liveIncarnations);
+        this.usage = UsageParts.create(
+                vertx, settings, tables, timers, self, coordination.heartbeats(), this::reportToken, peers, metrics);
+        this.claims =
+                ClaimParts.create(vertx, settings, tables, timers, self, coordination.heartbeats(), peers, metrics);
         this.gateway = new GatewayServer(vertx, gatewayContext(vertx, metrics), coordination::mayServeKeyedRoutes);
         this.operators = new OperatorServer(
                 vertx,
@@ -97,6 +116,39 @@
         registerCoordination(metrics);
     }
 
+    /** Units of authority that follow from the configuration and the open usage windows. */
+    private List<LeaseUnit> leaseUnits() {
+        List<LeaseUnit> units = new ArrayList<>();
+        ConfigurationSnapshot snapshot = coordination.snapshot();
+        snapshot.services().stream()
+                .filter(service -> service.type() == ServiceType.MODEL)
+                .forEach(service -> units.add(LeaseUnit.pool(service.name())));
+        snapshot.targets().stream()
+                .map(Target::availabilityZone)
+                .distinct()
+                .forEach(zone -> units.add(LeaseUnit.zone(zone)));
+        DaemonSettings.UsageSettings usageSettings = settings.usage();
+        long newestWindow = timers.wallClockMilliseconds() / usageSettings.windowMilliseconds();
+        long oldestWindow = newestWindow - usageSettings.reports().correctionWindows();
+        int windowsPerRange = usageSettings.reports().windowsPerRange();
+        for (long range = oldestWindow / windowsPerRange; range <= newestWindow / windowsPerRange; range++) {
+            units.add(LeaseUnit.report(Long.toString(range)));
+        }
+        return units;
+    }
+
+    private List<String> liveIncarnations() {
+        return coordination.heartbeats().liveMembers().stream()
+                .map(Member::incarnation)
+                .toList();
+    }
+
+    private OptionalLong reportToken(long windowRange) {
+        return leases.held(LeaseUnit.report(Long.toString(windowRange)))
+                .map(authority -> OptionalLong.of(authority.token()))
+                .orElse(OptionalLong.empty());
+    }
+
     private Member self(String incarnation) {
         DaemonSettings.Instance instance = settings.instance();
         return new Member(
@@ -134,13 +186,16 @@
                 new TargetConnections(vertx, settings.targets(), timers),
                 new TargetPool(TargetSelector.powerOfTwoChoices(), random),
                 new RetryGovernor(settings.retries(), timers, random),
-                usage,
+                usage.recorder(),
+                claims.service(),
                 metrics);
     }
 
     /** Starts all parts and returns the bound ports. */
     public Future<BoundPorts> start() {
+        leases.start();
         usage.start();
+        claims.start();
         String host = settings.instance().host();
         return gateway.listen(host, settings.listen().callerPort())
                 .compose(callerPort -> operators
@@ -192,8 +247,12 @@
                         .takeUntil(timers.after(drainLimit).toFlowable())
                         .ignoreElements())
                 .andThen(Completable.defer(() -> {
+                    claims.stop();
                     usage.stop();
-                    return usage.flush().onErrorComplete().andThen(coordination.leave());
+                    return usage.flush()
+                            .onErrorComplete()
+                            .andThen(leases.stop())
+                            .andThen(coordination.leave());
                 }))
                 .doOnComplete(coordination::stop)
                 .doOnComplete(() -> LOG.infof(
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/GatewayContext.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/GatewayContext.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.fireflywalk.core.configuration.ConfigurationSnapshot;
+import io.fireflywalk.daemon.claim.ClaimService;
 import io.fireflywalk.daemon.settings.DaemonSettings;
 import io.fireflywalk.daemon.usage.UsageRecorder;
 import io.fireflywalk.platform.time.TimerService;
@@ -17,6 +18,7 @@
  * @param pool choice of targets
  * @param retries budgets and circuit breakers
  * @param usage recorder of usage
+ * @param claims idempotency claims
  * @param memory budget of buffered bodies
  * @param metrics metrics of the request path
  */
@@ -28,6 +30,7 @@
         TargetPool pool,
         RetryGovernor retries,
         UsageRecorder usage,
+        ClaimService claims,
         BodyMemory memory,
         GatewayMetrics metrics) {
 
@@ -40,10 +43,12 @@
             TargetPool pool,
             RetryGovernor retries,
             UsageRecorder usage,
+            ClaimService claims,
             MetricRegistry registry) {
         BodyMemory memory = new BodyMemory(settings.limits().bodyMemoryBytes());
         GatewayMetrics metrics = new GatewayMetrics(registry);
         metrics.registerGauges(retries, memory);
-        return new GatewayContext(settings, snapshots, timers, connections, pool, retries, usage, memory, metrics);
+        return new GatewayContext(
+                settings, snapshots, timers, connections, pool, retries, usage, claims, memory, metrics);
     }
 }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/ModelCall.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/ModelCall.java
@@ -128,7 +128,7 @@
             return;
         }
         attemptCompleted(attempt);
-        succeed(usage.get().promptTokens(), usage.get().generatedTokens(), () -> {
+        succeed(attempt, usage.get().promptTokens(), usage.get().generatedTokens(), () -> {
             copyHead(response);
             endWith(body);
         });
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/PlainCall.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/PlainCall.java
@@ -4,6 +4,10 @@
 import io.fireflywalk.core.configuration.Target;
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
+import io.fireflywalk.core.error.RunState;
+import io.fireflywalk.daemon.claim.ClaimedExchange;
+import io.reactivex.rxjava3.core.Completable;
+import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
@@ -22,6 +26,7 @@
     private final ProgressTimer slowSender;
     private Optional<Buffer> collectedBody = Optional.empty();
     private Optional<BodyCollector> collector = Optional.empty();
+    private Optional<ClaimedExchange> claim = Optional.empty();
     private boolean uploadBegun;
     private boolean uploadEnded;
     private long uploadedBytes;
@@ -43,6 +48,12 @@
         return this;
     }
 
+    /** Keeps the outcome for retries with the same idempotency key. */
+    PlainCall withClaim(ClaimedExchange exchange) {
+        claim = Optional.of(exchange);
+        return this;
+    }
+
     @Override
     boolean eligible(Target target) {
         return true;
@@ -84,6 +95,21 @@
         collector.ifPresent(BodyCollector::release);
     }
 
+    @Override
+    boolean runsWithoutCaller() {
+        return claim.isPresent();
+    }
+
+    @Override
+    Completable outcomeStored() {
+        return claim.map(ClaimedExchange::answerEnded).orElse(Completable.complete());
+    }
+
+    @Override
+    Completable failureStored(RunState runState) {
+        return claim.map(exchange -> exchange.failed(runState)).orElse(Completable.complete());
+    }
+
     // Request
 
     @Override
@@ -168,6 +194,11 @@
         }
         String length = response.getHeader("content-length");
         declaredAnswerBytes = length == null ? -1 : Long.parseLong(length);
+        claim.ifPresent(exchange -> {
+            MultiMap kept = MultiMap.caseInsensitiveMultiMap();
+            HeaderFilter.copyToCaller(response.headers(), kept);
+            exchange.answerStarted(response.statusCode(), kept);
+        });
         response.handler(chunk -> take(attempt, response, chunk));
         response.endHandler(ignored -> completed(attempt, response));
         response.resume();
@@ -182,12 +213,17 @@
         }
         attempt.progress();
         answerBytes += chunk.length();
+        claim.ifPresent(exchange -> exchange.answerChunk(chunk));
         if (answerBytes == declaredAnswerBytes) {
             // A caller takes the answer as complete when the declared length has come, so the rest is held.
             lastBytes = chunk;
             return;
         }
         HttpServerResponse caller = scope().response();
+        if (caller.closed()) {
+            // Only a call that keeps its outcome goes on here; its answer is read to the end and stored.
+            return;
+        }
         beginAnswer(response);
         caller.write(chunk);
         if (caller.writeQueueFull()) {
@@ -212,7 +248,11 @@
         } else {
             attemptCompleted(attempt);
         }
-        succeed(0, 0, () -> {
+        succeed(attempt, 0, 0, () -> {
+            if (scope().response().closed()) {
+                scope().ended().ended();
+                return;
+            }
             beginAnswer(response);
             if (lastBytes.length() > 0) {
                 endWith(lastBytes);
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/PlainRequestHandler.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/PlainRequestHandler.java
@@ -1,12 +1,23 @@
 package io.fireflywalk.daemon.gateway;
 
+import io.fireflywalk.core.configuration.Route;
 import io.fireflywalk.core.configuration.RoutedService;
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
+import io.fireflywalk.core.error.RunState;
+import io.fireflywalk.daemon.claim.ClaimDecision;
+import io.fireflywalk.daemon.claim.ClaimedExchange;
+import io.fireflywalk.daemon.claim.RequestDigest;
+import io.reactivex.rxjava3.disposables.Disposable;
+import io.vertx.core.http.HttpServerResponse;
 import java.time.Duration;
+import java.util.Optional;
 
 /** Receives requests to plain services and starts their calls. Confined to one event loop. */
 public final class PlainRequestHandler {
+    private static final String IDEMPOTENCY_KEY = "idempotency-key";
+    private static final int MAXIMUM_KEY_LENGTH = 255;
+
     private final GatewayContext context;
 
     public PlainRequestHandler(GatewayContext context) {
@@ -28,6 +39,11 @@
         Duration deadline =
                 CallerInput.deadline(scope.request(), routed.service().defaultDeadlineMilliseconds());
         String uri = KeyRemover.uriWithoutKey(scope.request().uri(), scope.presentedKey());
+        Optional<String> idempotencyKey = idempotencyKey(scope, routed.route());
+        if (idempotencyKey.isPresent()) {
+            claimAndCall(scope, routed, uri, deadline, idempotencyKey.get());
+            return;
+        }
         int collectedBytes = context.settings().limits().repeatableBodyBytes();
         if (length < 0 || length > collectedBytes) {
             scope.request().pause();
@@ -49,11 +65,62 @@
                                 deadline.minusNanos(context.timers().monotonicNanoseconds() - receivedNanoseconds))
                         .withBody(body, collector)
                         .begin())
-                .onFailure(cause -> {
-                    FireflywalkException known = ErrorResponder.asKnown(cause, "request body");
-                    collector.release();
-                    context.metrics().requestEnded(known.kind().code());
-                    scope.fail(known);
-                });
+                .onFailure(cause -> refuse(scope, collector, cause));
+    }
+
+    /** Returns the key of a request whose outcome is kept. A key is scoped by its account, so open routes have none. */
+    private static Optional<String> idempotencyKey(RequestScope scope, Route route) throws FireflywalkException {
+        String key = scope.request().getHeader(IDEMPOTENCY_KEY);
+        if (key == null || route.idempotent() || scope.clientAccount().isEmpty()) {
+            return Optional.empty();
+        }
+        if (key.isEmpty() || key.length() > MAXIMUM_KEY_LENGTH) {
+            throw new FireflywalkException(
+                    ErrorKind.INVALID_REQUEST, "the idempotency key must have 1 to 255 characters", "request head");
+        }
+        return Optional.of(key);
+    }
+
+    private void claimAndCall(RequestScope scope, RoutedService routed, String uri, Duration deadline, String key) {
+        long receivedNanoseconds = context.timers().monotonicNanoseconds();
+        BodyCollector collector = new BodyCollector(
+                context, scope.request(), context.settings().limits().bodyBytes());
+        collector.collect().onFailure(cause -> refuse(scope, collector, cause)).onSuccess(body -> {
+            String digest = RequestDigest.of(scope.request().method().name(), uri, body);
+            Disposable unused = context.claims()
+                    .claimBeforeFirstAttempt(scope.clientAccount(), key, digest)
+                    .subscribe(
+                            decision -> {
+                                if (decision.stored().isPresent()) {
+                                    collector.release();
+                                    replay(scope, decision.stored().get());
+                                    return;
+                                }
+                                ClaimedExchange exchange = new ClaimedExchange(
+                                        context.claims(), decision.granted().orElseThrow());
+                                long elapsed = context.timers().monotonicNanoseconds() - receivedNanoseconds;
+                                new PlainCall(context, scope, routed, uri, deadline.minusNanos(elapsed))
+                                        .withBody(body, collector)
+                                        .withClaim(exchange)
+                                        .begin();
+                            },
+                            cause -> refuse(scope, collector, cause));
+        });
+    }
+
+    private void replay(RequestScope scope, ClaimDecision.Answer answer) {
+        HttpServerResponse response = scope.response();
+        response.setStatusCode(answer.status());
+        answer.headers().forEach(header -> response.putHeader(header.name(), header.value()));
+        response.putHeader(ErrorResponder.RUN_STATE_HEADER, RunState.RUN.name());
+        context.metrics().requestEnded("replayed");
+        scope.end(answer.body());
+    }
+
+    private void refuse(RequestScope scope, BodyCollector collector, Throwable cause) {
+        FireflywalkException known = ErrorResponder.asKnown(cause, "request");
+        collector.release();
+        context.metrics().requestEnded(known.kind().code());
+        scope.fail(known);
     }
 }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/StreamCall.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/StreamCall.java
@@ -166,7 +166,7 @@
         TokenUsage usage = TokenUsage.ofEvents(ending);
         attempt.completeAtEndOf(response);
         attemptSucceeded(attempt);
-        succeed(usage.promptTokens(), Math.max(usage.generatedTokens(), joiner.tokens()), () -> {
+        succeed(attempt, usage.promptTokens(), Math.max(usage.generatedTokens(), joiner.tokens()), () -> {
             writeHead(RunState.RUN);
             scope().end(Buffer.buffer(ending));
         });
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/TargetCall.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/TargetCall.java
@@ -1,11 +1,13 @@
 package io.fireflywalk.daemon.gateway;
 
 import io.fireflywalk.core.configuration.Target;
+import io.fireflywalk.core.configuration.TargetCharge;
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
 import io.fireflywalk.core.error.RunState;
 import io.fireflywalk.core.request.AttemptEvent;
 import io.fireflywalk.core.request.RequestProgress;
+import io.fireflywalk.core.usage.UsageAmount;
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.disposables.Disposable;
 import io.vertx.core.buffer.Buffer;
@@ -57,6 +59,11 @@
         deadlineTimer = context.timers().after(deadline).subscribe(this::deadlinePassed);
         scope.response().closeHandler(ignored -> callerLeft());
         scope.response().exceptionHandler(ignored -> callerLeft());
+        if (!context.usage().hasRoom(scope.clientAccount(), service, TargetCharge.REGULAR)) {
+            fail(new FireflywalkException(
+                    ErrorKind.STORE_UNAVAILABLE, "usage cannot be recorded at present", "usage records"));
+            return;
+        }
         startAttempt();
     }
 
@@ -89,6 +96,21 @@
     /** Releases what the call holds. */
     abstract void release();
 
+    /** Tells whether the call goes on when its caller has left, so that its outcome is known to a retry. */
+    boolean runsWithoutCaller() {
+        return false;
+    }
+
+    /** Stores the complete answer, if the call keeps outcomes; the end of the answer waits for it. */
+    Completable outcomeStored() {
+        return Completable.complete();
+    }
+
+    /** Stores that the call failed, if the call keeps outcomes; the error answer waits for it. */
+    Completable failureStored(RunState runState) {
+        return Completable.complete();
+    }
+
     // Attempts
 
     private void startAttempt() {
@@ -269,11 +291,18 @@
         abandonAttempts();
     }
 
-    /** Records usage, and then ends the answer. */
-    final void succeed(long promptTokens, long generatedTokens, Runnable ending) {
+    /** Records usage and the outcome, and then ends the answer. */
+    final void succeed(TargetAttempt attempt, long promptTokens, long generatedTokens, Runnable ending) {
         context.retries().requestSucceeded(service, scope.clientAccount());
-        Completable recorded = context.usage().record(scope.clientAccount(), service, promptTokens, generatedTokens);
-        Disposable unused = recorded.subscribe(() -> end(ending), cause -> {
+        UsageAmount amount = new UsageAmount(1, promptTokens, generatedTokens);
+        Completable recorded = context.usage()
+                .record(
+                        scope.requestId(),
+                        scope.clientAccount(),
+                        service,
+                        attempt.target().charge(),
+                        amount);
+        Disposable unused = recorded.mergeWith(outcomeStored()).subscribe(() -> end(ending), cause -> {
             context.metrics().usageFailed();
             end(ending);
         });
@@ -291,7 +320,8 @@
         abandonAttempts();
         RunState runState = progress.runState();
         if (finish(cause.kind().code())) {
-            scope.fail(cause.withRunState(runState));
+            FireflywalkException answer = cause.withRunState(runState);
+            Disposable unused = failureStored(runState).onErrorComplete().subscribe(() -> scope.fail(answer));
         }
     }
 
@@ -301,6 +331,9 @@
     }
 
     private void callerLeft() {
+        if (runsWithoutCaller()) {
+            return;
+        }
         abandonAttempts();
         if (finish("caller_left")) {
             scope.ended().ended();
--- a/fireflywalk-operator/src/main/java/io/fireflywalk/operator/cli/Commands.java
+++ b/fireflywalk-operator/src/main/java/io/fireflywalk/operator/cli/Commands.java
@@ -185,12 +185,12 @@
 
     private static List<String> usageCells(UsageRow row) {
         return List.of(
-                Long.toString(row.window()),
-                row.clientAccount(),
-                row.service(),
-                Long.toString(row.answers()),
-                Long.toString(row.promptTokens()),
-                Long.toString(row.generatedTokens()));
+                Long.toString(row.key().window()),
+                row.key().clientAccount(),
+                row.key().service(),
+                Long.toString(row.amount().answers()),
+                Long.toString(row.amount().promptTokens()),
+                Long.toString(row.amount().generatedTokens()));
     }
 
     private static ConfigurationSnapshot snapshotOf(OperatorMessages.ConfigurationAnswer answer) {
--- a/fireflywalk-standin/src/main/java/io/fireflywalk/standin/StandinMain.java
+++ b/fireflywalk-standin/src/main/java/io/fireflywalk/standin/StandinMain.java
@@ -6,6 +6,7 @@
 import io.fireflywalk.core.configuration.OrderChecking;
 import io.fireflywalk.core.order.EngineAssignment;
 import io.fireflywalk.core.order.EngineRole;
+import io.fireflywalk.platform.object.InMemoryObjectStore;
 import io.fireflywalk.platform.table.InMemoryTableService;
 import io.fireflywalk.platform.time.TimerService;
 import io.fireflywalk.platform.time.VertxTimerService;
@@ -65,12 +66,16 @@
         EngineOptions engine = new EngineOptions();
         PlainOptions plain = new PlainOptions();
         PlatformOptions platform = new PlatformOptions();
+        ListenOptions reports = new ListenOptions();
+        ListenOptions objects = new ListenOptions();
         JCommander commander = JCommander.newBuilder()
                 .programName("fireflywalk-standin")
                 .addCommand("table-service", table)
                 .addCommand("model-engine", engine)
                 .addCommand("plain-service", plain)
                 .addCommand("platform", platform)
+                .addCommand("usage-reports", reports)
+                .addCommand("object-store", objects)
                 .build();
         try {
             commander.parse(arguments);
@@ -100,6 +105,9 @@
                                         new PlatformLedger(milliseconds(platform.instanceLagMilliseconds), true),
                                         timers)
                                 .listen(platform.host, platform.port);
+                    case "usage-reports" -> new UsageReportServer(vertx).listen(reports.host, reports.port);
+                    case "object-store" ->
+                        new ObjectStoreServer(vertx, new InMemoryObjectStore()).listen(objects.host, objects.port);
                     default -> new PlainServiceServer(vertx, plain.answerMilliseconds).listen(plain.host, plain.port);
                 };
         port.onSuccess(bound -> System.out.println("listening on port " + bound))
