Keep late copies of an order from undoing the next one

A write of unknown outcome could commit after its process had ceased to track the engine, so that the successor waited for ever.

Change: RecordTable ends the doubt about a write by an empty transaction under the same identifier; the bound counts from the end of a send.

--- /dev/null
+++ b/fireflywalk-benchmark/src/main/java/io/fireflywalk/benchmark/authority/StoreLoadBenchmark.java
@@ -0,0 +1,104 @@
+package io.fireflywalk.benchmark.authority;
+
+import com.codahale.metrics.MetricRegistry;
+import io.fireflywalk.benchmark.authority.CountingTableService.Counts;
+import io.fireflywalk.core.lease.LeaseUnit;
+import io.fireflywalk.daemon.authority.AuthoritySettings;
+import io.fireflywalk.daemon.authority.LeaseKeeper;
+import io.fireflywalk.platform.table.InMemoryTableService;
+import io.fireflywalk.platform.time.SchedulerTimerService;
+import io.reactivex.rxjava3.schedulers.TestScheduler;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Counts the calls of the table service that leases cause, per fleet size, with the default settings, in virtual time.
+ * Prints one YAML record per size.
+ */
+public final class StoreLoadBenchmark {
+    private static final long SEED = 20261204;
+    private static final long WARM_UP_SECONDS = 60;
+    private static final long MEASURED_SECONDS = 300;
+    private static final List<Size> SIZES =
+            List.of(new Size(9, 4, 4, 4), new Size(45, 10, 8, 8), new Size(150, 20, 15, 15), new Size(410, 38, 26, 26));
+
+    private StoreLoadBenchmark() {}
+
+    /** Runs all sizes. */
+    public static void main(String[] arguments) {
+        SIZES.forEach(StoreLoadBenchmark::measure);
+    }
+
+    private static void measure(Size size) {
+        TestScheduler scheduler = new TestScheduler();
+        CountingTableService tables = new CountingTableService(new InMemoryTableService());
+        List<LeaseUnit> units = size.units();
+        List<String> members = new ArrayList<>();
+        for (int index = 0; index < size.instances(); index++) {
+            members.add("instance-" + index);
+        }
+        List<LeaseKeeper> keepers = new ArrayList<>();
+        for (String member : members) {
+            LeaseKeeper keeper = new LeaseKeeper(
+                    member,
+                    AuthoritySettings.defaults(),
+                    tables,
+                    new SchedulerTimerService(scheduler),
+                    new Random(SEED + keepers.size()),
+                    new MetricRegistry(),
+                    () -> units,
+                    () -> members);
+            keeper.start();
+            keepers.add(keeper);
+        }
+        scheduler.advanceTimeBy(WARM_UP_SECONDS, TimeUnit.SECONDS);
+        Counts before = tables.counts();
+        scheduler.advanceTimeBy(MEASURED_SECONDS, TimeUnit.SECONDS);
+        Counts counts = tables.counts().minus(before);
+        long held = units.stream()
+                .filter(unit ->
+                        keepers.stream().anyMatch(keeper -> keeper.held(unit).isPresent()))
+                .count();
+        int most = keepers.stream()
+                .mapToInt(keeper -> (int) units.stream()
+                        .filter(unit -> keeper.held(unit).isPresent())
+                        .count())
+                .max()
+                .orElse(0);
+        System.out.printf(
+                "- {instances: %d, units: %d, held: %d, mostHeldByOne: %d, transactionsPerSecond: %.1f,"
+                        + " writtenRowsPerSecond: %.1f, readsPerSecond: %.1f, readRowsPerSecond: %.1f}%n",
+                size.instances(),
+                units.size(),
+                held,
+                most,
+                perSecond(counts.transactions()),
+                perSecond(counts.writtenRows()),
+                perSecond(counts.reads()),
+                perSecond(counts.readRows()));
+    }
+
+    private static double perSecond(long count) {
+        return (double) count / MEASURED_SECONDS;
+    }
+
+    /** Size of a fleet. */
+    private record Size(int instances, int models, int zones, int windowRanges) {
+
+        List<LeaseUnit> units() {
+            List<LeaseUnit> units = new ArrayList<>();
+            for (int index = 0; index < models; index++) {
+                units.add(LeaseUnit.pool("model-" + index));
+            }
+            for (int index = 0; index < zones; index++) {
+                units.add(LeaseUnit.zone("zone-" + index));
+            }
+            for (int index = 0; index < windowRanges; index++) {
+                units.add(LeaseUnit.report("range-" + index));
+            }
+            return units;
+        }
+    }
+}
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/authority/EngineOrderService.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/authority/EngineOrderService.java
@@ -112,7 +112,8 @@
      */
     public Single<EngineOrderIntent> submit(Authority authority, Target engine, EngineAssignment assignment) {
         String key = key(authority.unit(), engine);
-        return intents.read(key).flatMap(row -> {
+        // A write of unknown outcome could put an intent into the table that this process has ceased to track.
+        return intents.resolve().andThen(intents.read(key)).flatMap(row -> {
             track(authority.unit(), engine);
             if (row.value()
                     .filter(found -> found.status() != Status.EFFECTIVE && found.status() != Status.WITHOUT_EFFECT)
@@ -163,12 +164,14 @@
         Single<Set<String>> proof = needsProof
                 ? platform.instances().map(ended::update).onErrorReturnItem(Set.of())
                 : Single.just(Set.of());
-        return proof.flatMapCompletable(endedInstances -> Flowable.fromIterable(List.copyOf(pending.values()))
-                .flatMapCompletable(tracked -> drive(tracked, endedInstances)
-                        .doOnError(cause -> LOG.warnf(
-                                "event=order_round_failed engine=%s cause=%s",
-                                tracked.engine().name(), cause))
-                        .onErrorComplete()));
+        return intents.resolve()
+                .andThen(proof)
+                .flatMapCompletable(endedInstances -> Flowable.fromIterable(List.copyOf(pending.values()))
+                        .flatMapCompletable(tracked -> drive(tracked, endedInstances)
+                                .doOnError(cause -> LOG.warnf(
+                                        "event=order_round_failed engine=%s cause=%s",
+                                        tracked.engine().name(), cause))
+                                .onErrorComplete()));
     }
 
     private Completable drive(Tracked tracked, Set<String> endedInstances) {
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/authority/OwnSends.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/authority/OwnSends.java
@@ -33,6 +33,8 @@
 
     void answered(EngineOrder sent, EngineOrderAnswer answer) {
         inFlight--;
+        // The process may have been paused between the start and the moment at which the request left it.
+        lastSendAt = Optional.of(timers.monotonicNanoseconds());
         if (!answer.accepted()) {
             return;
         }
@@ -46,6 +48,8 @@
 
     void unanswered() {
         inFlight--;
+        // The process may have been paused between the start and the moment at which the request left it.
+        lastSendAt = Optional.of(timers.monotonicNanoseconds());
     }
 
     /** Tells whether no delayed or duplicated copy of this process's sends can still arrive. */
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/authority/RecordTable.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/authority/RecordTable.java
@@ -6,19 +6,26 @@
 import io.fireflywalk.platform.table.TableService;
 import io.fireflywalk.platform.table.Transaction;
 import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Single;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.UUID;
 
-/** Records of one type in one table, written on the condition of the version that was read. Stateless. */
+/**
+ * Records of one type in one table, written on the condition of the version that was read. Remembers writes of unknown
+ * outcome until they can no longer take effect. Confined to one event loop.
+ */
 final class RecordTable<T> {
     private static final int PAGE = 500;
 
     private final TableService tables;
     private final String table;
     private final Class<T> type;
+    private final Set<String> unresolved = new LinkedHashSet<>();
 
     RecordTable(TableService tables, String table, Class<T> type) {
         this.tables = tables;
@@ -47,12 +54,26 @@
                 .put(table, key, Codec.json().write(value))
                 .build();
         return tables.execute(transaction)
+                .doOnSubscribe(ignored -> unresolved.add(transaction.id()))
+                .doOnSuccess(ignored -> unresolved.remove(transaction.id()))
                 .flatMapCompletable(result -> result.committed()
                         ? Completable.complete()
                         : Completable.error(new FireflywalkException(
                                 ErrorKind.VERSION_CONFLICT, "another process changed the row", table + "/" + key)));
     }
 
+    /**
+     * Ends the doubt about earlier writes: an empty transaction under the same identifier is answered only when the
+     * write has taken effect or no longer can. A read after this shows the truth.
+     */
+    Completable resolve() {
+        return Flowable.fromIterable(List.copyOf(unresolved))
+                .concatMapCompletable(
+                        id -> tables.execute(Transaction.builder(id).build())
+                                .doOnSuccess(ignored -> unresolved.remove(id))
+                                .ignoreElement());
+    }
+
     private Single<List<T>> scan(String prefix, String after, List<T> found) {
         return tables.scan(table, prefix, after, PAGE).flatMap(rows -> {
             for (var row : rows) {
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/authority/TargetOrderService.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/authority/TargetOrderService.java
@@ -84,7 +84,7 @@
      */
     public Completable submit(Authority authority, TargetOrder order) {
         String key = authority.unit().name();
-        return intents.read(key).flatMapCompletable(row -> {
+        return intents.resolve().andThen(intents.read(key)).flatMapCompletable(row -> {
             pending.add(authority.unit());
             if (row.value().filter(TargetOrderIntent::awaitsOutcome).isPresent()) {
                 return Completable.error(new FireflywalkException(
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/authority/AuthorityProperties.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/authority/AuthorityProperties.java
@@ -57,16 +57,15 @@
 
     private static Action.Independent<AuthoritySimulation> run() {
         return () -> Arbitraries.integers()
-                .between(100, 15_000)
+                .between(100, 30_000)
                 .map(milliseconds -> Transformer.mutate(
                         "run " + milliseconds + " ms", simulation -> simulation.run(Duration.ofMillis(milliseconds))));
     }
 
     private static Action.Independent<AuthoritySimulation> pause() {
-        return () -> Combinators.combine(instances(), Arbitraries.of(true, false))
-                .as((instance, beforeSend) -> Transformer.mutate(
-                        "pause " + instance + " before send=" + beforeSend,
-                        simulation -> simulation.pauseAt(instance, beforeSend)));
+        return () -> Combinators.combine(instances(), points())
+                .as((instance, point) -> Transformer.mutate(
+                        "pause " + instance + " at " + point, simulation -> simulation.pauseAt(instance, point)));
     }
 
     private static Action.Independent<AuthoritySimulation> resume() {
@@ -75,10 +74,10 @@
     }
 
     private static Action.Independent<AuthoritySimulation> kill() {
-        return () -> Combinators.combine(instances(), Arbitraries.of(true, false), Arbitraries.of(true, false))
-                .as((instance, beforeSend, outboxLeaves) -> Transformer.mutate(
-                        "kill " + instance + " before send=" + beforeSend + " sent=" + outboxLeaves,
-                        simulation -> simulation.killAt(instance, beforeSend, outboxLeaves)));
+        return () -> Combinators.combine(instances(), points(), Arbitraries.of(true, false))
+                .as((instance, point, outboxLeaves) -> Transformer.mutate(
+                        "kill " + instance + " at " + point + " sent=" + outboxLeaves,
+                        simulation -> simulation.killAt(instance, point, outboxLeaves)));
     }
 
     private static Action.Independent<AuthoritySimulation> disturb() {
@@ -90,6 +89,10 @@
                 Transformer.mutate("lose little", simulation -> simulation.setLossShare(0.02)));
     }
 
+    private static Arbitrary<AuthoritySimulation.Point> points() {
+        return Arbitraries.of(AuthoritySimulation.Point.class);
+    }
+
     private static Arbitrary<Integer> instances() {
         return Arbitraries.integers().between(0, AuthoritySimulation.INSTANCES - 1);
     }
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/authority/AuthoritySimulation.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/authority/AuthoritySimulation.java
@@ -97,10 +97,19 @@
         network.advanceTo(end);
     }
 
-    /** Runs until an instance is about to send, or has an unread answer, for at most some seconds; then pauses it. */
-    void pauseAt(int index, boolean beforeSend) {
-        runUntilBusy(index, beforeSend);
-        instances[index].process().setPaused(true);
+    /** Point at which a process is paused or killed. */
+    enum Point {
+        /** An order has passed the check of the lease and has not left the process. */
+        ORDER_CHECKED,
+        /** Any request has not left the process. */
+        BEFORE_SEND,
+        /** An answer has arrived and has not been processed. */
+        ANSWER_UNREAD
+    }
+
+    /** Runs until an instance reaches the point, for at most some seconds; then pauses it. */
+    void pauseAt(int index, Point point) {
+        instances[runUntilPoint(index, point)].process().setPaused(true);
     }
 
     void resume(int index) {
@@ -108,8 +117,8 @@
     }
 
     /** Kills an instance at such a point and starts another one in its place. */
-    void killAt(int index, boolean beforeSend, boolean outboxLeaves) {
-        runUntilBusy(index, beforeSend);
+    void killAt(int given, Point point, boolean outboxLeaves) {
+        int index = runUntilPoint(given, point);
         Instance old = instances[index];
         old.process().kill(outboxLeaves);
         platform.setInstance(old.process().incarnation, PlatformInstance.Status.TERMINATED, network.now());
@@ -148,10 +157,26 @@
         failOnViolation();
     }
 
-    private void runUntilBusy(int index, boolean beforeSend) {
-        SimulatedProcess process = instances[index].process();
-        BooleanSupplier busy = beforeSend ? process::hasOutgoing : process::hasIncoming;
-        runUntil(busy, network.now() + Duration.ofSeconds(3).toNanos());
+    /** Returns the instance that was run to the point: for orders whichever one sends first, else the given one. */
+    private int runUntilPoint(int given, Point point) {
+        long end = network.now() + Duration.ofSeconds(10).toNanos();
+        SimulatedProcess process = instances[given].process();
+        switch (point) {
+            case BEFORE_SEND -> runUntil(process::hasOutgoing, end);
+            case ANSWER_UNREAD -> runUntil(process::hasIncoming, end);
+            default -> runUntil(() -> sendingOrder().isPresent(), end);
+        }
+        return point == Point.ORDER_CHECKED ? sendingOrder().orElse(given) : given;
+    }
+
+    private Optional<Integer> sendingOrder() {
+        for (int index = 0; index < INSTANCES; index++) {
+            SimulatedProcess process = instances[index].process();
+            if (process.isRunning() && process.hasOutgoingOrder()) {
+                return Optional.of(index);
+            }
+        }
+        return Optional.empty();
     }
 
     private void runUntil(BooleanSupplier reached, long end) {
@@ -365,7 +390,7 @@
             Duration bound = engineTarget.orderChecking() == OrderChecking.CHECKS_FENCING_TOKEN
                     ? UNBOUNDED
                     : ORDERS.deliveryBound().multipliedBy(8).dividedBy(10);
-            return network.call(process, CALL_DEADLINE, bound, () -> arrive(order));
+            return network.order(process, CALL_DEADLINE, bound, () -> arrive(order));
         }
 
         @Override
@@ -376,7 +401,7 @@
         @Override
         public Single<TargetOrderOutcome> execute(TargetOrder order) {
             require(keeper.held(ZONE).isPresent(), () -> "target order sent without the lease: " + order);
-            return network.call(process, CALL_DEADLINE, UNBOUNDED, () -> arrive(order));
+            return network.order(process, CALL_DEADLINE, UNBOUNDED, () -> arrive(order));
         }
 
         @Override
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/authority/SimulatedNetwork.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/authority/SimulatedNetwork.java
@@ -15,6 +15,8 @@
     private static final long MILLISECOND = 1_000_000L;
     private static final double SLOW_SHARE = 0.05;
     private static final double DUPLICATE_SHARE = 0.05;
+    /** Copies of orders are slow more often, because only late copies can do harm. */
+    private static final double ORDER_DUPLICATE_SHARE = 0.5;
 
     private final Random random;
     private final PriorityQueue<Message> messages =
@@ -41,11 +43,22 @@
 
     /** Calls a receiver; a copy of the request arrives no later than the delivery bound after it left the process. */
     <T> Single<T> call(SimulatedProcess from, Duration deadline, Duration deliveryBound, Supplier<T> receiver) {
-        return Single.<T>create(emitter -> from.send(() -> {
-                    boolean twice = random.nextDouble() < DUPLICATE_SHARE;
+        return call(from, false, deadline, deliveryBound, receiver);
+    }
+
+    /** Calls a receiver with an order. */
+    <T> Single<T> order(SimulatedProcess from, Duration deadline, Duration deliveryBound, Supplier<T> receiver) {
+        return call(from, true, deadline, deliveryBound, receiver);
+    }
+
+    private <T> Single<T> call(
+            SimulatedProcess from, boolean isOrder, Duration deadline, Duration deliveryBound, Supplier<T> receiver) {
+        return Single.<T>create(emitter -> from.send(isOrder, () -> {
+                    boolean twice = random.nextDouble() < (isOrder ? ORDER_DUPLICATE_SHARE : DUPLICATE_SHARE);
                     for (int copy = 0; copy < (twice ? 2 : 1); copy++) {
                         if (random.nextDouble() >= lossShare) {
-                            post(delay(deliveryBound), () -> {
+                            long delay = isOrder && copy > 0 ? lateDelay(deliveryBound) : delay(deliveryBound);
+                            post(delay, () -> {
                                 T answer = receiver.get();
                                 if (random.nextDouble() >= lossShare) {
                                     post(delay(deliveryBound), () -> from.receive(() -> emitter.onSuccess(answer)));
@@ -75,6 +88,10 @@
         messages.add(new Message(now + delayNanoseconds, messagesCreated, action));
     }
 
+    private long lateDelay(Duration bound) {
+        return (long) (random.nextDouble() * bound.toNanos());
+    }
+
     private long delay(Duration bound) {
         long fast = 1L + random.nextInt(20);
         long delay = random.nextDouble() < SLOW_SHARE ? (long) (random.nextDouble() * bound.toMillis()) : fast;
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/authority/SimulatedProcess.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/authority/SimulatedProcess.java
@@ -18,7 +18,7 @@
     private final double clockRate;
     private final PriorityQueue<Task> tasks =
             new PriorityQueue<>(Comparator.comparingLong(Task::due).thenComparingLong(Task::order));
-    private final Queue<Runnable> outbox = new ArrayDeque<>();
+    private final Queue<Departure> outbox = new ArrayDeque<>();
     private final Queue<Runnable> inbox = new ArrayDeque<>();
     private long tasksCreated;
     private boolean alive = true;
@@ -30,8 +30,8 @@
         this.clockRate = clockRate;
     }
 
-    void send(Runnable departure) {
-        outbox.add(departure);
+    void send(boolean isOrder, Runnable departure) {
+        outbox.add(new Departure(isOrder, departure));
     }
 
     void receive(Runnable arrival) {
@@ -42,6 +42,11 @@
         return !outbox.isEmpty();
     }
 
+    /** Tells whether an order has passed its check and has not left. */
+    boolean hasOutgoingOrder() {
+        return outbox.stream().anyMatch(Departure::isOrder);
+    }
+
     boolean hasIncoming() {
         return !inbox.isEmpty();
     }
@@ -50,6 +55,10 @@
         return alive;
     }
 
+    boolean isRunning() {
+        return alive && !paused;
+    }
+
     void setPaused(boolean value) {
         paused = value;
     }
@@ -57,7 +66,7 @@
     void kill(boolean outboxLeaves) {
         alive = false;
         if (outboxLeaves) {
-            outbox.forEach(Runnable::run);
+            outbox.forEach(departure -> departure.action().run());
         }
         outbox.clear();
     }
@@ -78,7 +87,7 @@
     /** Does one thing that is due. */
     void step() {
         if (!outbox.isEmpty()) {
-            outbox.remove().run();
+            outbox.remove().action().run();
         } else if (!inbox.isEmpty()) {
             inbox.remove().run();
         } else {
@@ -127,5 +136,7 @@
         };
     }
 
+    private record Departure(boolean isOrder, Runnable action) {}
+
     private record Task(long due, long order, Runnable action) {}
 }
