--- a/fireflywalk-core/src/test/java/io/fireflywalk/core/lease/LeaseProperties.java
+++ b/fireflywalk-core/src/test/java/io/fireflywalk/core/lease/LeaseProperties.java
@@ -67,7 +67,7 @@
 
     /** Fails if a lease of unknown outcome is taken as valid. */
     @Property
-    void adoptedLeaseIsNotValidBeforeARenewal(@ForAll long now) {
+    void adoptedLeaseIsNotValidBeforeRenewal(@ForAll long now) {
         LeaseRecord record = LeaseRecord.takenOver(Optional.empty(), "holder", 8000);
         HeldLease adopted = HeldLease.adopted(LeaseUnit.pool("draft"), record, 7);
         assertFalse(adopted.isValid(TERMS, now));
