--- /dev/null
+++ b/fireflywalk-benchmark/src/main/java/io/fireflywalk/benchmark/policy/SimulatedInstance.java
@@ -0,0 +1,344 @@
+package io.fireflywalk.benchmark.policy;
+
+import io.fireflywalk.benchmark.policy.SimulatedRequest.Kind;
+import io.fireflywalk.core.admission.AdmissionController;
+import io.fireflywalk.core.admission.AdmissionDecision;
+import io.fireflywalk.core.admission.AdmissionRequest;
+import io.fireflywalk.core.admission.AdmissionSettings;
+import io.fireflywalk.core.admission.FleetPressure;
+import io.fireflywalk.core.admission.ShareLedger;
+import io.fireflywalk.core.admission.UsageDigest;
+import io.fireflywalk.core.configuration.Target;
+import io.fireflywalk.core.routing.ExpectedTimeSelector;
+import io.fireflywalk.core.routing.LoadReport;
+import io.fireflywalk.core.routing.LoadView;
+import io.fireflywalk.core.routing.PrefixEstimate;
+import io.fireflywalk.core.routing.RequestFeatures;
+import io.fireflywalk.core.routing.RoutingDecision;
+import io.fireflywalk.core.routing.RoutingSettings;
+import io.fireflywalk.core.routing.RunnerProfile;
+import io.fireflywalk.core.routing.SentDigest;
+import io.fireflywalk.standin.engine.EngineJob;
+import io.fireflywalk.standin.engine.VirtualEngine;
+import io.fireflywalk.standin.engine.VirtualTime;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+
+/** One entry instance of one service with its own lagging view. Confined to one thread. */
+final class SimulatedInstance {
+    private static final double NANOSECONDS_PER_SECOND = 1e9;
+    private static final long HOP_NANOSECONDS = 1_000_000;
+    private static final long POLL_NANOSECONDS = 250_000_000;
+    private static final int POLLED_RUNNERS = 4;
+    private static final long RELEASE_NANOSECONDS = 20_000_000;
+    private static final int MAXIMUM_ATTEMPTS = 4;
+    private static final int MAXIMUM_RETRIES = 2;
+
+    private final VirtualTime time;
+    private final Policy policy;
+    private final SimulatedPool pool;
+    private final Random random;
+    private final AdmissionSettings admissionSettings = AdmissionSettings.defaults();
+    private final LoadView view = new LoadView(RunnerProfile.defaults());
+    private final PrefixEstimate prefixes = new PrefixEstimate();
+    private final ExpectedTimeSelector selector;
+    private final ShareLedger ledger;
+    private final AdmissionController admission;
+    private final Map<Long, SimulatedRequest> queued = new HashMap<>();
+    private final Map<SimulatedInstance, Integer> peerQueues = new HashMap<>();
+    private final Map<String, LoadReport> lastReports = new HashMap<>();
+    private final Set<String> unreachable = new HashSet<>();
+    private int nextPolled;
+    private int nextTarget;
+    private boolean alive = true;
+
+    SimulatedInstance(VirtualTime time, Policy policy, SimulatedPool pool, long seed) {
+        this.time = time;
+        this.policy = policy;
+        this.pool = pool;
+        this.random = new Random(seed);
+        this.selector = new ExpectedTimeSelector(
+                view, prefixes, RoutingSettings.defaults().withSplit(policy.split()));
+        this.ledger = new ShareLedger(admissionSettings, Workload.WEIGHTS);
+        this.admission = new AdmissionController(admissionSettings, ledger, random);
+        this.nextTarget = random.nextInt(pool.targets.size());
+        pool.targets.forEach(target -> view.runner(target.name()));
+        time.every((long) (random.nextDouble() * POLL_NANOSECONDS), POLL_NANOSECONDS, this::poll);
+        if (policy.shares()) {
+            time.every((long) (random.nextDouble() * RELEASE_NANOSECONDS), RELEASE_NANOSECONDS, this::release);
+        }
+    }
+
+    boolean alive() {
+        return alive;
+    }
+
+    /** Ends the instance; its requests are lost. */
+    void kill() {
+        alive = false;
+    }
+
+    /** Takes a caller's request. */
+    void arrive(SimulatedRequest request) {
+        if (!alive) {
+            return;
+        }
+        if (!policy.shares()) {
+            route(request, new HashSet<>());
+            return;
+        }
+        double expected = request.kind == Kind.LONG ? 2 + request.outputTokens * 0.02 : 0.2;
+        double cost = request.promptTokens * (request.kind == Kind.LONG ? 0.5 : 1)
+                + admissionSettings.outputWeight() * request.outputTokens;
+        double tolerance = request.kind == Kind.LONG ? 8 : admissionSettings.queueSeconds();
+        AdmissionDecision decision = admission.offer(
+                new AdmissionRequest(request.id, request.account, cost, expected, request.deadline(), tolerance),
+                pressure(),
+                time.now());
+        queued.put(request.id, request);
+        apply(decision);
+    }
+
+    /** Sends both digests to the peers. */
+    void heartbeat(List<SimulatedInstance> peers) {
+        if (!alive) {
+            return;
+        }
+        SentDigest sent = view.takeDigest();
+        UsageDigest usage = ledger.takeDigest(1, admission.queuedByAccount());
+        int queuedNow = admission.queued();
+        time.schedule(HOP_NANOSECONDS, () -> {
+            for (SimulatedInstance peer : peers) {
+                if (peer != this && peer.alive) {
+                    peer.view.peerSent(sent, time.now());
+                    peer.ledger.peerUsed(usage, time.now());
+                    peer.peerQueues.put(this, queuedNow);
+                }
+            }
+        });
+    }
+
+    private FleetPressure pressure() {
+        return selector.pressure(pool.targets, admissionSettings.outputWeight(), time.now());
+    }
+
+    private void release() {
+        if (!alive) {
+            return;
+        }
+        ledger.settle(time.now());
+        admission.peersQueued(
+                peerQueues.values().stream().mapToInt(Integer::intValue).sum());
+        admission.release(pressure(), time.now()).forEach(this::apply);
+    }
+
+    private void apply(AdmissionDecision decision) {
+        switch (decision.state()) {
+            case ADMITTED -> route(queued.remove(decision.id()), new HashSet<>());
+            case REFUSED -> {
+                SimulatedRequest request = queued.remove(decision.id());
+                if (request.retries < MAXIMUM_RETRIES && random.nextBoolean()) {
+                    request.retries++;
+                    time.schedule(
+                            (long) (decision.retryAfterSeconds() * NANOSECONDS_PER_SECOND), () -> arrive(request));
+                }
+            }
+            case QUEUED -> {}
+        }
+    }
+
+    private void poll() {
+        if (!alive) {
+            return;
+        }
+        for (int i = 0; i < POLLED_RUNNERS; i++) {
+            Target target = pool.targets.get(nextPolled++ % pool.targets.size());
+            VirtualEngine engine = pool.engines.get(target.name());
+            if (!engine.alive()) {
+                view.runner(target.name()).failed(time.now());
+                unreachable.add(target.name());
+                continue;
+            }
+            LoadReport report = engine.report();
+            time.schedule(2 * HOP_NANOSECONDS, () -> {
+                if (view.runner(target.name()).reported(report, time.now())) {
+                    prefixes.restarted(target.name());
+                }
+                if (unreachable.remove(target.name())) {
+                    view.runner(target.name()).progressed(time.now());
+                }
+                lastReports.put(target.name(), report);
+            });
+        }
+    }
+
+    private void route(SimulatedRequest request, Set<String> excluded) {
+        if (!alive || request.attempts >= MAXIMUM_ATTEMPTS) {
+            return;
+        }
+        request.attempts++;
+        Optional<RoutingDecision> decision =
+                switch (policy.routing()) {
+                    case ROUND_ROBIN -> next(excluded);
+                    case LEAST_REPORTED -> least(excluded);
+                    case EXPECTED -> selector.select(features(request, excluded), pool.targets, time.now(), random);
+                };
+        decision.ifPresent(chosen -> time.schedule(HOP_NANOSECONDS, () -> send(request, chosen, excluded)));
+    }
+
+    private RequestFeatures features(SimulatedRequest request, Set<String> excluded) {
+        double remaining = (request.deadline() - time.now()) / NANOSECONDS_PER_SECOND;
+        return new RequestFeatures(
+                request.promptTokens,
+                Math.max(1, request.outputTokens - request.generated),
+                request.kind == Kind.LONG ? 0 : 1,
+                remaining,
+                request.prefix,
+                excluded);
+    }
+
+    private Optional<RoutingDecision> next(Set<String> excluded) {
+        for (int i = 0; i < pool.targets.size(); i++) {
+            Target target = pool.targets.get(nextTarget++ % pool.targets.size());
+            if (!excluded.contains(target.name()) && !unreachable.contains(target.name())) {
+                return Optional.of(new RoutingDecision(target, List.of()));
+            }
+        }
+        return Optional.empty();
+    }
+
+    private Optional<RoutingDecision> least(Set<String> excluded) {
+        Target best = null;
+        int bestLoad = Integer.MAX_VALUE;
+        int start = random.nextInt(pool.targets.size());
+        for (int i = 0; i < pool.targets.size(); i++) {
+            Target target = pool.targets.get((start + i) % pool.targets.size());
+            LoadReport report = lastReports.get(target.name());
+            int load = report == null ? 0 : report.runningRequests() + report.waitingRequests();
+            if (load < bestLoad && !excluded.contains(target.name()) && !unreachable.contains(target.name())) {
+                best = target;
+                bestLoad = load;
+            }
+        }
+        return Optional.ofNullable(best).map(target -> new RoutingDecision(target, List.of()));
+    }
+
+    private void send(SimulatedRequest request, RoutingDecision decision, Set<String> excluded) {
+        Target target = decision.chosen();
+        long cached = decision.estimates().isEmpty()
+                ? 0
+                : Math.round(decision.estimates().get(0).cachedTokens());
+        long uncached = Math.max(1, request.promptTokens - cached);
+        double expected =
+                decision.estimates().isEmpty() ? 0 : decision.estimates().get(0).firstTokenSeconds();
+        Attempt attempt = new Attempt(request, target, uncached, expected, decision.decodeTarget(), excluded);
+        attempt.job = new EngineJob(
+                request.prefixIdentifier,
+                request.prefixTokens,
+                request.promptTokens,
+                Math.max(1, request.outputTokens - request.generated),
+                request.kind == Kind.LONG ? 0 : 1,
+                decision.decodeTarget().isPresent(),
+                attempt::handle);
+        view.sent(target.name(), uncached, time.now());
+        if (request.prefixTokens > 0) {
+            prefixes.sent(request.prefix, target.name(), view, time.now());
+        }
+        if (!pool.engines.get(target.name()).submit(attempt.job)) {
+            attempt.fail();
+        }
+    }
+
+    /** One attempt of a request at a runner, or at two if it is split. */
+    private final class Attempt {
+        private final SimulatedRequest request;
+        private final Target target;
+        private final long uncached;
+        private final double expected;
+        private final Optional<Target> decodeTarget;
+        private final Set<String> excluded;
+        private final long sentAt = time.now();
+        private EngineJob job;
+        private String current;
+        private boolean answered;
+
+        Attempt(
+                SimulatedRequest request,
+                Target target,
+                long uncached,
+                double expected,
+                Optional<Target> decodeTarget,
+                Set<String> excluded) {
+            this.request = request;
+            this.target = target;
+            this.current = target.name();
+            this.uncached = uncached;
+            this.expected = expected;
+            this.decodeTarget = decodeTarget;
+            this.excluded = excluded;
+        }
+
+        void handle(EngineJob.Event event) {
+            if (!alive) {
+                pool.engines.get(current).cancel(job);
+                return;
+            }
+            switch (event) {
+                case TOKEN -> token();
+                case PREFILLED -> handOver();
+                case FINISHED -> {
+                    view.runner(current).ended();
+                    request.finished(time.now());
+                }
+                case FAILED -> fail();
+            }
+        }
+
+        void fail() {
+            if (answered) {
+                view.runner(current).ended();
+            } else {
+                view.runner(current).abandoned(uncached);
+            }
+            view.runner(current).failed(time.now());
+            unreachable.add(current);
+            prefixes.restarted(current);
+            excluded.add(current);
+            route(request, excluded);
+        }
+
+        private void token() {
+            if (!answered) {
+                answered = true;
+                double observed = (time.now() - sentAt) / NANOSECONDS_PER_SECOND;
+                view.runner(current).firstToken(uncached, expected, observed, time.now());
+                if (request.prefixTokens > 0) {
+                    prefixes.reported(request.prefix, current, job.cachedTokens(), view, time.now());
+                }
+            } else {
+                view.runner(current).progressed(time.now());
+            }
+            request.token(time.now());
+        }
+
+        private void handOver() {
+            view.runner(current).ended();
+            current = decodeTarget.orElse(target).name();
+            int remaining = request.outputTokens - request.generated;
+            if (remaining <= 0) {
+                request.finished(time.now());
+                return;
+            }
+            view.imported(current, time.now());
+            job = new EngineJob(0, 0, request.promptTokens, remaining, 1, false, this::handle);
+            if (!pool.engines.get(current).importCache(job, request.promptTokens)) {
+                fail();
+            }
+        }
+    }
+}
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/routing/ExpectedTimeSelector.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/routing/ExpectedTimeSelector.java
@@ -1,5 +1,6 @@
 package io.fireflywalk.core.routing;
 
+import io.fireflywalk.core.admission.FleetPressure;
 import io.fireflywalk.core.configuration.Target;
 import java.util.ArrayList;
 import java.util.List;
@@ -7,37 +8,50 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Takes the candidate with the best expected times among a few: a random sample, the runners that are believed to hold
- * the prompt's prefix, and for long prompts the prefix's home, a target that all instances compute alike from the hash.
- * The sample keeps instances with the same old reports from all taking the same runner; the home makes instances that
- * know nothing of each other's requests collect a prefix on one runner. The cost of a decision does not depend on the
- * number of targets. Confined to one thread.
+ * Takes the candidate with the best expected times among a few: random ones of the lane that computes prompts and of the
+ * lane that generates, the runners that are believed to hold the prompt's prefix, and for long prompts the prefix's
+ * home, a runner that all instances compute alike from the hash. The sample keeps instances with the same old reports
+ * from all taking the same runner; the home makes instances that know nothing of each other's requests collect a prefix
+ * on one runner. Confined to one thread.
+ *
+ * <p>A request that goes to the lane that computes prompts is handed over to one that generates, unless its answer is so
+ * short that the transfer would show. A request may also run as a whole in the generating lane; its score then has the
+ * delay that its prompt causes to the requests that generate there.
+ *
+ * <p>The cost of a decision does not grow with the number of targets, apart from the division into lanes, which is
+ * renewed ten times a second.
  */
 public final class ExpectedTimeSelector implements RunnerSelector {
-    private static final int MAXIMUM_CANDIDATES = 12;
-    private static final int DRAWS_PER_CANDIDATE = 4;
+    private static final int MAXIMUM_CANDIDATES = 16;
+    private static final int DRAWS_PER_CANDIDATE = 3;
+    private static final long JUMP_MULTIPLIER = 2_862_933_555_777_941_757L;
 
     private final LoadView view;
     private final PrefixEstimate prefixes;
     private final RoutingSettings settings;
+    private final Lanes lanes;
 
     public ExpectedTimeSelector(LoadView view, PrefixEstimate prefixes, RoutingSettings settings) {
         this.view = view;
         this.prefixes = prefixes;
         this.settings = settings;
+        this.lanes = new Lanes(view, settings);
     }
 
     @Override
     public Optional<RoutingDecision> select(
             RequestFeatures request, List<Target> targets, long now, RandomGenerator random) {
-        Candidates candidates = sample(request, targets, now, random);
-        List<CandidateEstimate> estimates = new ArrayList<>(candidates.count);
-        for (int i = 0; i < candidates.count; i++) {
-            estimates.add(estimate(request, targets, candidates.indices[i], now));
+        lanes.refresh(targets, now);
+        Candidates candidates = sample(request, targets, random);
+        if (candidates.count == 0) {
+            addAny(request, targets, random, candidates);
         }
+        List<CandidateEstimate> estimates = new ArrayList<>(candidates.count);
         int best = -1;
-        for (int i = 0; i < estimates.size(); i++) {
-            boolean prefills = view.runner(estimates.get(i).target().name()).role() != RunnerRole.DECODE;
+        for (int i = 0; i < candidates.count; i++) {
+            int index = candidates.indices[i];
+            estimates.add(estimate(request, targets, index, now));
+            boolean prefills = view.runner(targets.get(index).name()).role() != RunnerRole.DECODE;
             if (prefills
                     && (best < 0
                             || estimates.get(i).score() < estimates.get(best).score())) {
@@ -47,85 +61,81 @@
         if (best < 0) {
             return Optional.empty();
         }
-        CandidateEstimate chosen = estimates.remove(best);
+        CandidateEstimate chosen = estimates.get(best);
+        view.routed(Math.round(request.promptTokens() - chosen.cachedTokens()), request.expectedOutputTokens(), now);
+        Optional<Target> decodeTarget = decodeTarget(request, candidates, best, estimates);
+        estimates.remove(best);
         estimates.add(0, chosen);
-        return Optional.of(
-                new RoutingDecision(chosen.target(), List.of(), estimates, decodeTarget(request, chosen, estimates)));
+        return Optional.of(new RoutingDecision(chosen.target(), List.of(), estimates, decodeTarget));
+    }
+
+    /** Returns the pressure on the service's targets, with the work of a generated token relative to a prompt token. */
+    public FleetPressure pressure(List<Target> targets, double outputWeight, long now) {
+        lanes.refresh(targets, now);
+        return PressureGauge.measure(view, targets, lanes, settings, outputWeight, now);
     }
 
-    private Candidates sample(RequestFeatures request, List<Target> targets, long now, RandomGenerator random) {
+    private Candidates sample(RequestFeatures request, List<Target> targets, RandomGenerator random) {
         Candidates candidates = new Candidates();
-        int count = targets.size();
-        if (count == 0) {
-            return candidates;
-        }
-        if (request.isLong()) {
-            addHomes(request, targets, now, candidates);
-        }
-        int wanted = Math.min(MAXIMUM_CANDIDATES, candidates.count + settings.sampledCandidates());
-        for (int draw = 0; draw < wanted * DRAWS_PER_CANDIDATE && candidates.count < wanted; draw++) {
-            int index = random.nextInt(count);
-            if (eligible(request, targets.get(index), now)) {
-                candidates.add(index);
+        int[] prefill = lanes.prefill();
+        if (request.isLong() && request.prefix().size() > 0) {
+            addHolders(request, targets, candidates);
+            if (prefill.length > 0) {
+                add(request, targets, prefill[home(request.prefix(), prefill.length)], candidates);
             }
         }
-        if (candidates.count == 0) {
-            addAny(request, targets, now, random, candidates);
-        }
+        addSample(request, targets, prefill, random, candidates);
+        addSample(request, targets, lanes.decode(), random, candidates);
         return candidates;
     }
 
-    /** Draws may miss the only eligible targets of a large pool, so the whole list is searched before giving up. */
-    private void addAny(
-            RequestFeatures request, List<Target> targets, long now, RandomGenerator random, Candidates candidates) {
-        int start = random.nextInt(targets.size());
-        for (int i = 0; i < targets.size() && candidates.count < settings.sampledCandidates(); i++) {
-            int index = (start + i) % targets.size();
-            if (eligible(request, targets.get(index), now)) {
-                candidates.add(index);
-            }
+    private void addSample(
+            RequestFeatures request, List<Target> targets, int[] lane, RandomGenerator random, Candidates candidates) {
+        int wanted = candidates.count + Math.min(settings.sampledCandidates(), lane.length);
+        int draws = wanted * DRAWS_PER_CANDIDATE;
+        for (int i = 0; i < draws && candidates.count < wanted && lane.length > 0; i++) {
+            add(request, targets, lane[random.nextInt(lane.length)], candidates);
         }
-        for (int i = 0; i < targets.size() && candidates.count == 0; i++) {
-            int index = (start + i) % targets.size();
-            if (permitted(request, targets.get(index))) {
-                candidates.add(index);
-            }
+    }
+
+    /** With no usable runner in either lane, an avoided one is better than a refusal. */
+    private void addAny(RequestFeatures request, List<Target> targets, RandomGenerator random, Candidates candidates) {
+        int start = targets.isEmpty() ? 0 : random.nextInt(targets.size());
+        for (int i = 0; i < targets.size() && candidates.count < settings.sampledCandidates(); i++) {
+            add(request, targets, (start + i) % targets.size(), candidates);
         }
     }
 
-    private void addHomes(RequestFeatures request, List<Target> targets, long now, Candidates candidates) {
-        PrefixDigest prefix = request.prefix();
-        if (prefix.size() == 0) {
+    private void addHolders(RequestFeatures request, List<Target> targets, Candidates candidates) {
+        List<String> holders = prefixes.holdersOf(request.prefix());
+        if (holders.isEmpty()) {
             return;
         }
-        List<String> holders = prefixes.holdersOf(prefix);
-        if (!holders.isEmpty()) {
-            for (int index = 0; index < targets.size() && targets.size() <= settings.searchedTargets(); index++) {
-                Target target = targets.get(index);
-                if (holders.contains(target.name()) && eligible(request, target, now)) {
-                    candidates.add(index);
-                }
-            }
-        }
-        for (int i = 0; i < settings.homes(); i++) {
-            int index = home(prefix, i, targets.size());
-            if (eligible(request, targets.get(index), now)) {
-                candidates.add(index);
+        for (int index : lanes.prefill()) {
+            if (holders.contains(targets.get(index).name())) {
+                add(request, targets, index, candidates);
             }
         }
     }
 
-    private int home(PrefixDigest prefix, int rank, int count) {
-        long hash = prefix.hash(Math.min(settings.homeBoundary(), prefix.size() - 1));
-        return (int) Long.remainderUnsigned(PrefixDigest.mix(hash + rank), count);
-    }
-
-    private boolean eligible(RequestFeatures request, Target target, long now) {
-        return permitted(request, target) && !view.runner(target.name()).avoided(now);
+    private static void add(RequestFeatures request, List<Target> targets, int index, Candidates candidates) {
+        Target target = targets.get(index);
+        if (!target.leaving() && !request.excluded().contains(target.name())) {
+            candidates.add(index);
+        }
     }
 
-    private static boolean permitted(RequestFeatures request, Target target) {
-        return !target.leaving() && !request.excluded().contains(target.name());
+    /** Jump consistent hash: when the lane grows or shrinks by one runner, few prefixes move. */
+    private int home(PrefixDigest prefix, int count) {
+        long key = prefix.hash(Math.min(settings.homeBoundary(), prefix.size() - 1));
+        long bucket = -1;
+        long next = 0;
+        while (next < count) {
+            bucket = next;
+            key = key * JUMP_MULTIPLIER + 1;
+            next = (long) ((bucket + 1) * ((1L << 31) / (double) ((key >>> 33) + 1)));
+        }
+        return (int) bucket;
     }
 
     private CandidateEstimate estimate(RequestFeatures request, List<Target> targets, int index, long now) {
@@ -133,15 +143,23 @@
         RunnerLoad load = view.runner(target.name());
         PrefixDigest prefix = request.prefix();
         double cached = prefix.size() == 0 ? 0 : prefixes.cachedTokens(prefix, target.name(), view, now);
-        if (cached == 0 && request.isLong() && prefix.size() > 0 && home(prefix, 0, targets.size()) == index) {
+        if (cached == 0 && request.isLong() && prefix.size() > 0 && isHome(prefix, index)) {
             cached = prefix.tokens(prefix.size() - 1) * settings.homeHitProbability();
         }
         double uncached = Math.max(1, request.promptTokens() - cached);
         double first = load.firstTokenSeconds(uncached, now) + load.silencePenaltySeconds(now);
-        double between = load.betweenTokensSeconds(0, now);
+        boolean handedOver = !lanes.decodes(index) && (settings.split() || load.role() == RunnerRole.PREFILL);
+        double between = load.betweenTokensSeconds(handedOver ? 0 : uncached, now);
+        double disturbance =
+                settings.disturbanceWeight() * uncached * view.profile().prefillTokenSeconds() * load.decoding(now);
         double score =
-                request.isLong() ? longScore(request, load, uncached, first, between, now) : shortScore(first, between);
-        return new CandidateEstimate(target, first, between, cached, score);
+                request.isLong() ? longScore(request, first, between) : shortScore(first, handedOver ? 0 : between);
+        return new CandidateEstimate(target, first, between, cached, score + disturbance);
+    }
+
+    private boolean isHome(PrefixDigest prefix, int index) {
+        int[] lane = lanes.prefill();
+        return lane.length > 0 && lane[home(prefix, lane.length)] == index;
     }
 
     private double shortScore(double first, double between) {
@@ -150,38 +168,33 @@
         return first + settings.latenessWeight() * (late + slow);
     }
 
-    /** Adds the delay that the prompt causes to the requests that generate beside it to its own completion time. */
-    private double longScore(
-            RequestFeatures request, RunnerLoad load, double uncached, double first, double between, long now) {
+    private double longScore(RequestFeatures request, double first, double between) {
         double completion = first + request.expectedOutputTokens() * between;
         double late = Math.max(0, completion - settings.safetyFactor() * request.deadlineSeconds());
-        double disturbance =
-                uncached * view.profile().prefillTokenSeconds() * load.generating(now) * settings.disturbanceWeight();
-        return completion + settings.latenessWeight() * late + disturbance;
+        return completion + settings.latenessWeight() * late;
     }
 
-    /** A split pays if the chosen runner would generate too slowly and another one would not, transfer included. */
+    /** Returns the runner of the generating lane with the shortest expected time between tokens. */
     private Optional<Target> decodeTarget(
-            RequestFeatures request, CandidateEstimate chosen, List<CandidateEstimate> estimates) {
-        boolean mustSplit = view.runner(chosen.target().name()).role() == RunnerRole.PREFILL;
-        double goal = settings.safetyFactor() * settings.betweenTokensGoalSeconds();
-        if (!mustSplit && (!settings.split() || chosen.betweenTokensSeconds() <= goal || request.isLong())) {
+            RequestFeatures request, Candidates candidates, int chosen, List<CandidateEstimate> estimates) {
+        RunnerRole role = view.runner(estimates.get(chosen).target().name()).role();
+        boolean mustSplit = role == RunnerRole.PREFILL;
+        boolean inDecodeLane = lanes.decodes(candidates.indices[chosen]);
+        boolean tooShort = request.expectedOutputTokens() < settings.minimumSplitOutput();
+        if (!mustSplit && (inDecodeLane || !settings.split() || tooShort)) {
             return Optional.empty();
         }
-        double transfer = view.profile().transfer(request.promptTokens());
-        double gain = request.expectedOutputTokens() * chosen.betweenTokensSeconds();
-        Optional<Target> best = Optional.empty();
-        double bestBetween = mustSplit ? Double.MAX_VALUE : goal;
-        for (CandidateEstimate other : estimates) {
-            boolean differs = !other.target().name().equals(chosen.target().name());
-            boolean decodes = view.runner(other.target().name()).role() != RunnerRole.PREFILL;
-            double rest = transfer + request.expectedOutputTokens() * other.betweenTokensSeconds();
-            if (differs && decodes && other.betweenTokensSeconds() < bestBetween && (mustSplit || rest < gain)) {
-                best = Optional.of(other.target());
-                bestBetween = other.betweenTokensSeconds();
+        int best = -1;
+        for (int i = 0; i < estimates.size(); i++) {
+            boolean decodes = i != chosen && lanes.decodes(candidates.indices[i]);
+            if (decodes
+                    && (best < 0
+                            || estimates.get(i).betweenTokensSeconds()
+                                    < estimates.get(best).betweenTokensSeconds())) {
+                best = i;
             }
         }
-        return best;
+        return best < 0 ? Optional.empty() : Optional.of(estimates.get(best).target());
     }
 
     /** Distinct indices of targets. */
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/routing/LoadView.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/routing/LoadView.java
@@ -14,9 +14,18 @@
     /** Bound of the entries of one digest; at 64 bytes each it is 16 KB a second at one heartbeat a second. */
     public static final int MAXIMUM_DIGEST_ENTRIES = 256;
 
+    private static final double NANOSECONDS_PER_SECOND = 1e9;
+    /** Time over which the mix of prompt and output tokens is averaged. */
+    private static final double MIX_SECONDS = 5;
+
     private final RunnerProfile profile;
     private final Map<String, RunnerLoad> runners = new HashMap<>();
     private final Map<String, SentDigest.Sent> unsent = new LinkedHashMap<>();
+    private long unsentPrefillTokens;
+    private long unsentOutputTokens;
+    private double mixPrefillTokens;
+    private double mixOutputTokens;
+    private long mixedAt;
 
     public LoadView(RunnerProfile profile) {
         this.profile = profile;
@@ -61,15 +70,39 @@
         remember(target, 0);
     }
 
+    /** Counts the work of a request that this instance routed. */
+    public void routed(long prefillTokens, long outputTokens, long now) {
+        unsentPrefillTokens += Math.max(0, prefillTokens);
+        unsentOutputTokens += Math.max(0, outputTokens);
+        mix(prefillTokens, outputTokens, now);
+    }
+
+    /** Returns the averaged work on prompts, in seconds of a runner that does nothing else. */
+    public double prefillSeconds(long now) {
+        mix(0, 0, now);
+        return mixPrefillTokens / profile.prefillTokensPerSecond(0);
+    }
+
+    /** Returns the averaged work on generated tokens, in seconds of a runner that just meets the goal between tokens. */
+    public double decodeSeconds(double betweenTokensGoalSeconds, long now) {
+        mix(0, 0, now);
+        return mixOutputTokens * betweenTokensGoalSeconds / profile.generatingWithin(betweenTokensGoalSeconds);
+    }
+
     /** Returns what was sent since the last call. */
     public SentDigest takeDigest() {
-        SentDigest digest = new SentDigest(unsent.values().stream().toList());
+        SentDigest digest = new SentDigest(unsent.values().stream().toList(), unsentPrefillTokens, unsentOutputTokens);
         unsent.clear();
+        unsentPrefillTokens = 0;
+        unsentOutputTokens = 0;
         return digest;
     }
 
     /** Takes a peer's digest. Targets that this instance does not know are skipped. */
     public void peerSent(SentDigest digest, long now) {
+        if (digest.prefillTokens() >= 0 && digest.outputTokens() >= 0) {
+            mix(digest.prefillTokens(), digest.outputTokens(), now);
+        }
         for (SentDigest.Sent sent : digest.sent()) {
             RunnerLoad load = runners.get(sent.target());
             if (load != null && sent.prefillTokens() >= 0 && sent.requests() >= 0) {
@@ -78,6 +111,13 @@
         }
     }
 
+    private void mix(long prefillTokens, long outputTokens, long now) {
+        double kept = Math.exp(-Math.max(0, now - mixedAt) / NANOSECONDS_PER_SECOND / MIX_SECONDS);
+        mixedAt = now;
+        mixPrefillTokens = mixPrefillTokens * kept + prefillTokens;
+        mixOutputTokens = mixOutputTokens * kept + outputTokens;
+    }
+
     private void remember(String target, long prefillTokens) {
         if (unsent.size() < MAXIMUM_DIGEST_ENTRIES || unsent.containsKey(target)) {
             unsent.merge(
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/routing/RunnerLoad.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/routing/RunnerLoad.java
@@ -20,6 +20,12 @@
     /** How old a report is believed to be when it arrives. */
     private static final long REPORT_LAG_NANOSECONDS = 200_000_000;
 
+    /** How old the work in a peer's digest is on average when it arrives. */
+    private static final long DIGEST_LAG_NANOSECONDS = 250_000_000;
+
+    /** Time after which most of the requests in a report have ended. */
+    private static final double GENERATION_SECONDS = 4;
+
     private static final long RESTART_NANOSECONDS = 2_000_000_000;
     private static final double FRESH_SECONDS = 3;
     private static final double PRIOR_SECONDS = 5;
@@ -29,6 +35,8 @@
     private static final int MAXIMUM_DOUBLINGS = 5;
     private static final double SLOWNESS_WEIGHT = 0.1;
     private static final double MAXIMUM_SLOWNESS = 4;
+    /** A prompt waits for the end of the present step and shares its own with others, about 0.15 s each. */
+    private static final double SLOWNESS_TOLERANCE_SECONDS = 0.25;
 
     private final RunnerProfile profile;
     private LoadReport report = new LoadReport("", "", RunnerRole.MIXED, 0, 0, 0, 0, -1);
@@ -71,6 +79,7 @@
         ownWaiting++;
         ownWaitingTokens += prefillTokens;
         add(prefillTokens, 1, now);
+        sentTokens += prefillTokens;
     }
 
     /** Counts a request that came with its KV cache. */
@@ -84,7 +93,8 @@
 
     /** Counts what a peer says it sent. */
     public void peerSent(long prefillTokens, int requests, long now) {
-        add(prefillTokens, requests, now);
+        add(prefillTokens, requests, now - DIGEST_LAG_NANOSECONDS);
+        sentTokens += prefillTokens;
     }
 
     /** Notes the first token of a request and how long it took compared with the expectation. */
@@ -93,7 +103,7 @@
         ownWaitingTokens = Math.max(0, ownWaitingTokens - prefillTokens);
         ownGenerating++;
         if (expectedSeconds > 0) {
-            double ratio = Math.min(MAXIMUM_SLOWNESS, observedSeconds / expectedSeconds);
+            double ratio = Math.min(MAXIMUM_SLOWNESS, observedSeconds / (expectedSeconds + SLOWNESS_TOLERANCE_SECONDS));
             slowness += SLOWNESS_WEIGHT * (ratio - slowness);
             slowness = Math.max(1, slowness);
         }
@@ -133,24 +143,31 @@
     /** Returns the expected number of prompt tokens that wait. */
     public double queuedTokens(long now) {
         double age = age(now);
-        double drained = age * profile.prefillTokensPerSecond(report.runningRequests()) / slowness;
+        double drained = (age + REPORT_LAG_NANOSECONDS / NANOSECONDS_PER_SECOND / 2) * prefillRate(now);
         double reported = (report.queuedPrefillTokens() + addedTokens(now) - drained) * trust(age);
         return Math.max(Math.max(0, reported), ownWaitingTokens / 2.0);
     }
 
-    /** Returns the expected number of requests that generate tokens. */
+    /** Returns the expected number of requests that generate tokens, those with a waiting prompt included. */
     public double generating(long now) {
         double age = age(now);
         double trust = trust(age);
-        double reported = report.runningRequests() + report.waitingRequests() + addedRequests(now);
+        double reported =
+                (report.runningRequests() + report.waitingRequests()) * Math.max(0, 1 - age / GENERATION_SECONDS)
+                        + addedRequests(now);
         return Math.max(reported * trust + PRIOR_GENERATING * (1 - trust), ownGenerating + ownWaiting);
     }
 
     /** Returns the expected time to the first token of a prompt. */
     public double firstTokenSeconds(double prefillTokens, long now) {
-        double generating = generating(now);
         double tokens = queuedTokens(now) + prefillTokens;
-        return slowness * (tokens / profile.prefillTokensPerSecond(generating) + profile.step(generating, 0));
+        return tokens / prefillRate(now) + slowness * profile.step(decoding(now), 0);
+    }
+
+    /** Returns the expected number of requests that slow prompts down, which those with a waiting prompt do not. */
+    public double decoding(long now) {
+        double trust = trust(age(now));
+        return Math.max(report.runningRequests() * trust + PRIOR_GENERATING * (1 - trust), ownGenerating);
     }
 
     /** Returns the expected time between tokens after another request has joined. */
@@ -175,8 +192,12 @@
         return sentTokens;
     }
 
+    private double prefillRate(long now) {
+        return profile.prefillTokensPerSecond(decoding(now)) / slowness;
+    }
+
     private boolean stalled(long now) {
-        double expected = slowness * queuedTokens(now) / profile.prefillTokensPerSecond(generating(now));
+        double expected = queuedTokens(now) / prefillRate(now);
         return ownWaiting + ownGenerating > 0
                 && (now - progressAt) / NANOSECONDS_PER_SECOND > STALL_SECONDS + 2 * expected;
     }
@@ -199,7 +220,6 @@
         }
         slotTokens[index] += tokens;
         slotRequests[index] += requests;
-        sentTokens += tokens;
     }
 
     private double addedTokens(long now) {
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/routing/SentDigest.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/routing/SentDigest.java
@@ -7,8 +7,10 @@
  * {@link LoadView#MAXIMUM_DIGEST_ENTRIES} entries; what does not fit is left to the runners' own reports.
  *
  * @param sent requests and prompt tokens by target
+ * @param prefillTokens prompt tokens of all requests that were routed, without cached ones
+ * @param outputTokens expected generated tokens of all requests that were routed
  */
-public record SentDigest(List<Sent> sent) {
+public record SentDigest(List<Sent> sent, long prefillTokens, long outputTokens) {
 
     public SentDigest {
         sent = List.copyOf(sent);
