Assume releases by peers only for queued requests and bound the assumption

Cause: each admitted request raised the assumed pressure by the peers' queue over its own, which is a factor of a hundred when its own queue is empty, so admission closed while the runners were a third full (pressure 0.2 to 0.3 in a trace of the release ticks). Ruled out: the load estimates, whose waits were 8 to 50 ms in the same trace. Change: only releases from the queue count, and at most once per peer that reported a queue.

--- a/fireflywalk-benchmark/src/main/java/io/fireflywalk/benchmark/policy/SimulatedInstance.java
+++ b/fireflywalk-benchmark/src/main/java/io/fireflywalk/benchmark/policy/SimulatedInstance.java
@@ -132,8 +132,9 @@
             return;
         }
         ledger.settle(time.now());
-        admission.peersQueued(
-                peerQueues.values().stream().mapToInt(Integer::intValue).sum());
+        int requests = peerQueues.values().stream().mapToInt(Integer::intValue).sum();
+        long peers = peerQueues.values().stream().filter(count -> count > 0).count();
+        admission.peersQueued(requests, (int) peers);
         admission.release(pressure(), time.now()).forEach(this::apply);
     }
 
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/admission/AdmissionController.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/admission/AdmissionController.java
@@ -40,6 +40,7 @@
     private final Map<Integer, Deque<Waiting>> queues = new TreeMap<>();
     private int queued;
     private int peersQueued;
+    private int peersWithQueue;
     private double assumed;
     private long assumedAt;
 
@@ -58,7 +59,7 @@
         }
         Deque<Waiting> queue = queues.get(request.account());
         if ((queue == null || queue.isEmpty()) && open(request.account(), fleet, now)) {
-            admit(request, fleet, now);
+            ledger.use(request.account(), request.cost(), now);
             return AdmissionDecision.admitted(request.id());
         }
         if (queued >= settings.queuedTotal() || (queue != null && queue.size() >= settings.queuedPerAccount())) {
@@ -83,7 +84,8 @@
             if (queue.isEmpty()) {
                 queues.remove(account);
             }
-            admit(request, fleet, now);
+            ledger.use(request.account(), request.cost(), now);
+            assumePeersReleaseAsMuch(request, fleet, now);
             decisions.add(AdmissionDecision.admitted(request.id()));
         }
         return decisions;
@@ -102,9 +104,10 @@
         return true;
     }
 
-    /** Takes the sum of the requests that the peers have queued; zero when their digests have aged. */
-    public void peersQueued(int requests) {
+    /** Takes how many requests the peers have queued and how many peers have any; zero when their digests have aged. */
+    public void peersQueued(int requests, int peers) {
         peersQueued = requests;
+        peersWithQueue = peers;
     }
 
     /** Returns the number of queued requests. */
@@ -125,9 +128,8 @@
         return fleet.pressure() + assumed(now) < limit;
     }
 
-    private void admit(AdmissionRequest request, FleetPressure fleet, long now) {
-        ledger.use(request.account(), request.cost(), now);
-        double peersPerOwn = peersQueued / (double) Math.max(1, queued);
+    private void assumePeersReleaseAsMuch(AdmissionRequest request, FleetPressure fleet, long now) {
+        double peersPerOwn = Math.min(peersWithQueue, peersQueued / (double) Math.max(1, queued));
         assumed = assumed(now) + request.cost() / fleet.capacity() * peersPerOwn;
         assumedAt = now;
     }
