Hold accounts far above their share at half the pressure

Change: the limit runs from 0.5 for an account far above its share over 0.99 for a balanced one to 1.15, as a curve instead of a line.

--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/admission/AdmissionController.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/admission/AdmissionController.java
@@ -122,9 +122,11 @@
         return counts;
     }
 
+    /** The limit falls slowly around a balanced account and steeply towards one far above its share. */
     private boolean open(int account, FleetPressure fleet, long now) {
+        double above = (1 - ledger.standing(account)) / 2;
         double limit = settings.slackPressure()
-                + (settings.fullPressure() - settings.slackPressure()) * (ledger.standing(account) + 1) / 2;
+                + (settings.fullPressure() - settings.slackPressure()) * (1 - above * above);
         return fleet.pressure() + assumed(now) < limit;
     }
 
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/admission/ShareLedger.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/admission/ShareLedger.java
@@ -20,27 +20,35 @@
     private static final int DIVISION_ROUNDS = 3;
 
     private final AdmissionSettings settings;
-    private final double[] weights;
-    private final double totalWeight;
-    private final double[] balances;
-    private final double[] ownUsed;
-    private final double[] peerUsed;
-    private final double[] undigested;
-    private final long[] activeAt;
+    private double[] weights = new double[0];
+    private double totalWeight;
+    private double[] balances = new double[0];
+    private double[] ownUsed = new double[0];
+    private double[] peerUsed = new double[0];
+    private double[] undigested = new double[0];
+    private long[] activeAt = new long[0];
     private double rate;
     private long settledAt = Long.MIN_VALUE;
 
-    public ShareLedger(AdmissionSettings settings, double[] weights) {
+    public ShareLedger(AdmissionSettings settings, double[] initialWeights) {
         this.settings = settings;
-        this.weights = weights.clone();
-        this.totalWeight = Arrays.stream(weights).sum();
-        int count = weights.length;
-        this.balances = new double[count];
-        this.ownUsed = new double[count];
-        this.peerUsed = new double[count];
-        this.undigested = new double[count];
-        this.activeAt = new long[count];
-        Arrays.fill(activeAt, Long.MIN_VALUE / 2);
+        setWeights(initialWeights);
+    }
+
+    /** Sets the weights; the number of accounts may grow, and balances are kept. */
+    public void setWeights(double[] newWeights) {
+        int before = weights.length;
+        int count = newWeights.length;
+        weights = newWeights.clone();
+        totalWeight = Arrays.stream(weights).sum();
+        balances = Arrays.copyOf(balances, count);
+        ownUsed = Arrays.copyOf(ownUsed, count);
+        peerUsed = Arrays.copyOf(peerUsed, count);
+        undigested = Arrays.copyOf(undigested, count);
+        activeAt = Arrays.copyOf(activeAt, count);
+        if (count > before) {
+            Arrays.fill(activeAt, before, count, Long.MIN_VALUE / 2);
+        }
     }
 
     /** Returns the number of accounts. */
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/admission/UsageDigest.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/admission/UsageDigest.java
@@ -10,14 +10,14 @@
  * in the name order of the configuration version, instead of its name). An instance sends a digest to
  * {@value #FAN_OUT} peers a second, so its traffic is FAN_OUT × entries × ENTRY_BYTES. With
  * 4,400 accounts, of which a digest names the {@link #MAXIMUM_ENTRIES} with the most work not yet told, that is at most
- * 3 × 256 × 24 = 18 KB/s of the 24 KB/s that a node may spend. The work of the others is told later.
+ * 3 × 128 × 24 = 9 KB/s of the 24 KB/s that a node may spend. The work of the others is told later.
  *
  * @param configurationVersion version whose account order the numbers refer to; a digest of another version is dropped
  * @param entries accounts with the most work, at most {@link #MAXIMUM_ENTRIES}
  */
 public record UsageDigest(long configurationVersion, List<Entry> entries) {
     /** Bound of the named accounts. */
-    public static final int MAXIMUM_ENTRIES = 256;
+    public static final int MAXIMUM_ENTRIES = 128;
 
     /** Upper bound of the JSON form of one entry, as {@code [4399,99999999,99999],}. */
     public static final int ENTRY_BYTES = 24;
