Wire load watcher, runner choice and admission into the daemon

Cause: the request path chose targets by its own requests in flight only and kept no shares. Change: a watcher polls at most 64 runners per service in turn; model requests pass admission and then the runner choice, plain requests admission. Requests are not split in the daemon, because the engines' KV cache transfer has no published interface yet. Digests for peers are offered, but no heartbeat carries them yet.

--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/admission/AdmissionController.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/admission/AdmissionController.java
@@ -125,8 +125,8 @@
     /** The limit falls slowly around a balanced account and steeply towards one far above its share. */
     private boolean open(int account, FleetPressure fleet, long now) {
         double above = (1 - ledger.standing(account)) / 2;
-        double limit = settings.slackPressure()
-                + (settings.fullPressure() - settings.slackPressure()) * (1 - above * above);
+        double limit =
+                settings.slackPressure() + (settings.fullPressure() - settings.slackPressure()) * (1 - above * above);
         return fleet.pressure() + assumed(now) < limit;
     }
 
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/routing/RunnerSubset.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/routing/RunnerSubset.java
@@ -28,6 +28,7 @@
     }
 
     private static long rank(String instance, Target target) {
-        return PrefixDigest.mix(PrefixDigest.mix(instance.hashCode()) + target.name().hashCode());
+        return PrefixDigest.mix(
+                PrefixDigest.mix(instance.hashCode()) + target.name().hashCode());
     }
 }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/Daemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/Daemon.java
@@ -2,7 +2,13 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import io.fireflywalk.core.admission.FleetPressure;
+import io.fireflywalk.core.configuration.ServiceType;
+import io.fireflywalk.core.routing.LoadView;
+import io.fireflywalk.core.routing.PrefixEstimate;
+import io.fireflywalk.core.routing.RunnerProfile;
 import io.fireflywalk.core.routing.TargetSelector;
+import io.fireflywalk.daemon.admission.AdmissionGate;
 import io.fireflywalk.daemon.configuration.ConfigurationWatcher;
 import io.fireflywalk.daemon.gateway.GatewayServer;
 import io.fireflywalk.daemon.gateway.ModelRequestHandler;
@@ -11,6 +17,8 @@
 import io.fireflywalk.daemon.operators.ConfigurationChanger;
 import io.fireflywalk.daemon.operators.OperatorServer;
 import io.fireflywalk.daemon.peer.PeerServer;
+import io.fireflywalk.daemon.routing.LoadWatcher;
+import io.fireflywalk.daemon.routing.RunnerRouter;
 import io.fireflywalk.daemon.settings.DaemonSettings;
 import io.fireflywalk.daemon.usage.UsageRecorder;
 import io.fireflywalk.platform.configuration.ConfigurationRepository;
@@ -37,6 +45,8 @@
     private final TimerService timers;
     private final ConfigurationWatcher watcher;
     private final UsageRecorder usage;
+    private final LoadWatcher loads;
+    private final AdmissionGate admission;
     private final GatewayServer gateway;
     private final OperatorServer operators;
     private final PeerServer peers;
@@ -61,12 +71,26 @@
                         .setConnectTimeout((int) settings.targets().connectMilliseconds()),
                 new PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_TARGET));
         TargetPool pool = new TargetPool(TargetSelector.powerOfTwoChoices(), RandomGenerator.getDefault());
+        LoadView view = new LoadView(RunnerProfile.defaults());
+        PrefixEstimate prefixes = new PrefixEstimate();
+        this.loads = new LoadWatcher(
+                client, timers, watcher::snapshot, settings.instance().name(), view, prefixes, metrics);
+        RunnerRouter router = new RunnerRouter(loads, view, prefixes, timers, RandomGenerator.getDefault());
+        this.admission = new AdmissionGate(
+                timers,
+                watcher::snapshot,
+                (snapshot, service) -> snapshot.service(service)
+                        .filter(found -> found.type() == ServiceType.MODEL)
+                        .map(found -> router.pressure(snapshot, service))
+                        .orElse(FleetPressure.none()),
+                RandomGenerator.getDefault(),
+                metrics);
         this.gateway = new GatewayServer(
                 vertx,
                 settings,
                 watcher::snapshot,
-                new ModelRequestHandler(client, pool, usage, settings),
-                new PlainRequestHandler(client, pool, usage));
+                new ModelRequestHandler(client, pool, router, admission, usage, settings),
+                new PlainRequestHandler(client, pool, admission, usage));
         this.operators = new OperatorServer(
                 vertx,
                 watcher::snapshot,
@@ -85,6 +109,8 @@
     public Future<BoundPorts> start() {
         watcher.start();
         usage.start();
+        loads.start();
+        admission.start();
         String host = settings.instance().host();
         return gateway.listen(host, settings.listen().callerPort())
                 .compose(callerPort -> operators
@@ -114,6 +140,8 @@
                         .takeUntil(timers.after(drainLimit).toFlowable())
                         .ignoreElements())
                 .andThen(Completable.defer(() -> {
+                    admission.stop();
+                    loads.stop();
                     usage.stop();
                     watcher.stop();
                     return usage.flush().onErrorComplete();
--- /dev/null
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Admission of requests at this instance. */
+package io.fireflywalk.daemon.admission;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/ModelRequestHandler.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/ModelRequestHandler.java
@@ -1,8 +1,14 @@
 package io.fireflywalk.daemon.gateway;
 
+import io.fireflywalk.core.configuration.Service;
 import io.fireflywalk.core.configuration.Target;
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
+import io.fireflywalk.core.routing.PrefixDigest;
+import io.fireflywalk.core.routing.RequestFeatures;
+import io.fireflywalk.daemon.admission.AdmissionGate;
+import io.fireflywalk.daemon.routing.RunnerAttempt;
+import io.fireflywalk.daemon.routing.RunnerRouter;
 import io.fireflywalk.daemon.settings.DaemonSettings;
 import io.fireflywalk.daemon.usage.UsageRecorder;
 import io.vertx.core.buffer.Buffer;
@@ -17,13 +23,26 @@
 /** Sends completion requests to runners and streams their answers to callers. Confined to one event loop. */
 public final class ModelRequestHandler {
     private final HttpClient client;
+    private static final int DEFAULT_OUTPUT_TOKENS = 256;
+    private static final int BYTES_PER_TOKEN = 4;
+
     private final TargetPool pool;
+    private final RunnerRouter router;
+    private final AdmissionGate admission;
     private final UsageRecorder usage;
     private final DaemonSettings settings;
 
-    public ModelRequestHandler(HttpClient client, TargetPool pool, UsageRecorder usage, DaemonSettings settings) {
+    public ModelRequestHandler(
+            HttpClient client,
+            TargetPool pool,
+            RunnerRouter router,
+            AdmissionGate admission,
+            UsageRecorder usage,
+            DaemonSettings settings) {
         this.client = client;
         this.pool = pool;
+        this.router = router;
+        this.admission = admission;
         this.usage = usage;
         this.settings = settings;
     }
@@ -53,17 +72,42 @@
     private void route(RequestScope scope, Buffer body) {
         try {
             ModelRequest model = ModelRequest.parse(body);
-            if (scope.snapshot().service(model.model()).isEmpty()) {
-                throw new FireflywalkException(ErrorKind.UNKNOWN_MODEL, "unknown model", "request body");
-            }
-            Target target = pool.choose(scope.snapshot(), model.model(), scope.requestId(), Set.of());
-            send(scope, model, target, body);
+            Service service = scope.snapshot()
+                    .service(model.model())
+                    .orElseThrow(
+                            () -> new FireflywalkException(ErrorKind.UNKNOWN_MODEL, "unknown model", "request body"));
+            RequestFeatures features = new RequestFeatures(
+                    body.length() / BYTES_PER_TOKEN,
+                    model.maximumTokens().orElse(DEFAULT_OUTPUT_TOKENS),
+                    0,
+                    service.defaultDeadlineMilliseconds() / 1e3,
+                    PrefixDigest.of(body.getBytes()),
+                    Set.of());
+            admission
+                    .admitModel(
+                            scope.clientAccount(),
+                            service.name(),
+                            features.promptTokens(),
+                            features.expectedOutputTokens(),
+                            service.defaultDeadlineMilliseconds())
+                    .onSuccess(ignored -> choose(scope, model, features, body))
+                    .onFailure(cause -> fail(scope, refused(cause)));
+        } catch (FireflywalkException exception) {
+            fail(scope, exception);
+        }
+    }
+
+    private void choose(RequestScope scope, ModelRequest model, RequestFeatures features, Buffer body) {
+        try {
+            RunnerAttempt attempt = router.choose(scope.snapshot(), model.model(), scope.requestId(), features);
+            send(scope, model, attempt, body);
         } catch (FireflywalkException exception) {
             fail(scope, exception);
         }
     }
 
-    private void send(RequestScope scope, ModelRequest model, Target target, Buffer body) {
+    private void send(RequestScope scope, ModelRequest model, RunnerAttempt attempt, Buffer body) {
+        Target target = attempt.target();
         String attemptId = UUID.randomUUID().toString();
         pool.attemptStarted(target);
         RequestOptions options = new RequestOptions()
@@ -78,14 +122,16 @@
                     scope.request().response().closeHandler(ignored -> request.reset());
                     return request.send(body);
                 })
-                .onSuccess(answer -> forward(scope, model, target, answer))
+                .onSuccess(answer -> forward(scope, model, attempt, answer))
                 .onFailure(cause -> {
                     pool.attemptEnded(target);
+                    attempt.failed();
                     fail(scope, failed(target, cause));
                 });
     }
 
-    private void forward(RequestScope scope, ModelRequest model, Target target, HttpClientResponse answer) {
+    private void forward(RequestScope scope, ModelRequest model, RunnerAttempt attempt, HttpClientResponse answer) {
+        Target target = attempt.target();
         HttpServerResponse response = scope.request().response();
         response.setStatusCode(answer.statusCode());
         HeaderFilter.copyToCaller(answer.headers(), response.headers());
@@ -94,6 +140,7 @@
         }
         UsageScanner scanner = new UsageScanner();
         answer.handler(chunk -> {
+            attempt.progressed();
             scanner.accept(chunk);
             response.write(chunk);
             if (response.writeQueueFull()) {
@@ -103,10 +150,12 @@
         });
         answer.exceptionHandler(cause -> {
             pool.attemptEnded(target);
+            attempt.failed();
             fail(scope, failed(target, cause));
         });
         answer.endHandler(ignored -> {
             pool.attemptEnded(target);
+            attempt.ended();
             usage.record(scope.clientAccount(), model.model(), scanner.promptTokens(), scanner.generatedTokens());
             response.end();
         });
@@ -116,6 +165,12 @@
         return new FireflywalkException(ErrorKind.TARGET_FAILED, "the target failed", "target " + target.name(), cause);
     }
 
+    private static FireflywalkException refused(Throwable cause) {
+        return cause instanceof FireflywalkException known
+                ? known
+                : new FireflywalkException(ErrorKind.INTERNAL, "admission failed", "admission", cause);
+    }
+
     private static void fail(RequestScope scope, FireflywalkException exception) {
         ErrorResponder.respond(scope.request().response(), scope.requestId(), exception);
     }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/PlainRequestHandler.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/PlainRequestHandler.java
@@ -4,7 +4,9 @@
 import io.fireflywalk.core.configuration.Target;
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
+import io.fireflywalk.daemon.admission.AdmissionGate;
 import io.fireflywalk.daemon.usage.UsageRecorder;
+import io.vertx.core.Future;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpServerResponse;
@@ -16,19 +18,43 @@
 public final class PlainRequestHandler {
     private final HttpClient client;
     private final TargetPool pool;
+    private final AdmissionGate admission;
     private final UsageRecorder usage;
 
-    public PlainRequestHandler(HttpClient client, TargetPool pool, UsageRecorder usage) {
+    public PlainRequestHandler(HttpClient client, TargetPool pool, AdmissionGate admission, UsageRecorder usage) {
         this.client = client;
         this.pool = pool;
+        this.admission = admission;
         this.usage = usage;
     }
 
     /** Handles a request whose key is valid, or whose route is open to all. */
-    public void handle(RequestScope scope, RoutedService routed) throws FireflywalkException {
+    public void handle(RequestScope scope, RoutedService routed) {
+        scope.request().pause();
+        admission
+                .admitPlain(
+                        scope.clientAccount(),
+                        routed.service().name(),
+                        routed.service().defaultDeadlineMilliseconds())
+                .compose(ignored -> {
+                    try {
+                        send(scope, routed);
+                        return Future.succeededFuture();
+                    } catch (FireflywalkException exception) {
+                        return Future.failedFuture(exception);
+                    }
+                })
+                .onFailure(cause -> ErrorResponder.respond(
+                        scope.request().response(),
+                        scope.requestId(),
+                        cause instanceof FireflywalkException known
+                                ? known
+                                : new FireflywalkException(ErrorKind.INTERNAL, "admission failed", "gateway", cause)));
+    }
+
+    private void send(RequestScope scope, RoutedService routed) throws FireflywalkException {
         Target target = pool.choose(scope.snapshot(), routed.service().name(), scope.requestId(), Set.of());
         pool.attemptStarted(target);
-        scope.request().pause();
         RequestOptions options = new RequestOptions()
                 .setMethod(scope.request().method())
                 .setHost(target.host())
@@ -62,7 +88,7 @@
                 });
     }
 
-    private static io.vertx.core.Future<Void> forward(RequestScope scope, HttpClientResponse answer) {
+    private static Future<Void> forward(RequestScope scope, HttpClientResponse answer) {
         HttpServerResponse response = scope.request().response();
         response.setStatusCode(answer.statusCode());
         HeaderFilter.copyToCaller(answer.headers(), response.headers());
--- /dev/null
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/routing/LoadWatcher.java
@@ -0,0 +1,166 @@
+package io.fireflywalk.daemon.routing;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import io.fireflywalk.core.configuration.ConfigurationSnapshot;
+import io.fireflywalk.core.configuration.Service;
+import io.fireflywalk.core.configuration.ServiceType;
+import io.fireflywalk.core.configuration.Target;
+import io.fireflywalk.core.error.ErrorKind;
+import io.fireflywalk.core.error.FireflywalkException;
+import io.fireflywalk.core.routing.LoadReport;
+import io.fireflywalk.core.routing.LoadView;
+import io.fireflywalk.core.routing.PrefixEstimate;
+import io.fireflywalk.core.routing.RunnerSubset;
+import io.fireflywalk.platform.codec.Codec;
+import io.fireflywalk.platform.time.TimerService;
+import io.reactivex.rxjava3.disposables.Disposable;
+import io.vertx.core.Future;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Supplier;
+
+/**
+ * Polls the load of the runners that this instance uses, a few each period in turn, and feeds the view. A runner whose
+ * poll has not ended is passed over, so at most one call per runner is open. A failed poll counts as a failure of the
+ * runner, which is then avoided for a growing time. Confined to one event loop.
+ */
+public final class LoadWatcher {
+    /** Bound of the runners that one instance uses per service; each is polled about every two seconds at most. */
+    public static final int RUNNERS_PER_SERVICE = 64;
+
+    private static final Duration PERIOD = Duration.ofMillis(250);
+    /** Eight reports of about 350 bytes four times a second are 11 KB/s. */
+    private static final int POLLS_PER_PERIOD = 8;
+
+    private static final long DEADLINE_MILLISECONDS = 500;
+    private static final int STATUS_OK = 200;
+    private static final int MAXIMUM_REPORT_BYTES = 4_096;
+
+    private final HttpClient client;
+    private final TimerService timers;
+    private final Supplier<ConfigurationSnapshot> snapshots;
+    private final String instance;
+    private final LoadView view;
+    private final PrefixEstimate prefixes;
+    private final Counter polls;
+    private final Counter failures;
+    private final Set<String> open = new HashSet<>();
+    private Map<String, List<Target>> targetsByService = Map.of();
+    private List<Target> polled = List.of();
+    private long version = -1;
+    private int next;
+    private Optional<Disposable> subscription = Optional.empty();
+
+    public LoadWatcher(
+            HttpClient client,
+            TimerService timers,
+            Supplier<ConfigurationSnapshot> snapshots,
+            String instance,
+            LoadView view,
+            PrefixEstimate prefixes,
+            MetricRegistry metrics) {
+        this.client = client;
+        this.timers = timers;
+        this.snapshots = snapshots;
+        this.instance = instance;
+        this.view = view;
+        this.prefixes = prefixes;
+        this.polls = metrics.counter("load_polls");
+        this.failures = metrics.counter("load_poll_failures");
+    }
+
+    /** Starts to poll. */
+    public void start() {
+        subscription = Optional.of(timers.every(PERIOD).subscribe(tick -> poll()));
+    }
+
+    /** Stops to poll. */
+    public void stop() {
+        subscription.ifPresent(Disposable::dispose);
+    }
+
+    /** Returns the runners of a service that this instance uses; the same list until the configuration changes. */
+    public List<Target> targetsOf(ConfigurationSnapshot snapshot, String service) {
+        update(snapshot);
+        return targetsByService.getOrDefault(service, List.of());
+    }
+
+    private void update(ConfigurationSnapshot snapshot) {
+        if (snapshot.version() <= version) {
+            return;
+        }
+        version = snapshot.version();
+        Map<String, List<Target>> lists = new HashMap<>();
+        List<Target> all = new ArrayList<>();
+        for (Service service : snapshot.services()) {
+            if (service.type() == ServiceType.MODEL) {
+                List<Target> part = RunnerSubset.of(instance, snapshot.targetsOf(service.name()), RUNNERS_PER_SERVICE);
+                lists.put(service.name(), part);
+                all.addAll(part);
+            }
+        }
+        targetsByService = lists;
+        polled = all;
+        view.retain(all.stream().map(Target::name).toList());
+    }
+
+    private void poll() {
+        update(snapshots.get());
+        for (int i = 0; i < Math.min(POLLS_PER_PERIOD, polled.size()); i++) {
+            next = (next + 1) % polled.size();
+            Target target = polled.get(next);
+            if (open.add(target.name())) {
+                polls.inc();
+                report(target)
+                        .onSuccess(report -> {
+                            open.remove(target.name());
+                            if (view.runner(target.name()).reported(report, timers.monotonicNanoseconds())) {
+                                prefixes.restarted(target.name());
+                            }
+                        })
+                        .onFailure(cause -> {
+                            open.remove(target.name());
+                            failures.inc();
+                            view.runner(target.name()).failed(timers.monotonicNanoseconds());
+                        });
+            }
+        }
+    }
+
+    private Future<LoadReport> report(Target target) {
+        RequestOptions options = new RequestOptions()
+                .setMethod(HttpMethod.GET)
+                .setHost(target.host())
+                .setPort(target.port())
+                .setURI("/engine/v1/load")
+                .setTimeout(DEADLINE_MILLISECONDS)
+                .setIdleTimeout(DEADLINE_MILLISECONDS);
+        return client.request(options)
+                .compose(request -> request.send()
+                        .compose(response -> response.body()
+                                .compose(
+                                        body -> parse(response.statusCode(), body.length(), body.toString(), target))));
+    }
+
+    private static Future<LoadReport> parse(int status, int length, String body, Target target) {
+        try {
+            if (status != STATUS_OK || length > MAXIMUM_REPORT_BYTES) {
+                throw new FireflywalkException(
+                        ErrorKind.TARGET_PROTOCOL, "no load report: status " + status, "target " + target.name());
+            }
+            return Future.succeededFuture(Codec.json().read(body, LoadReport.class, "target " + target.name()));
+        } catch (FireflywalkException exception) {
+            return Future.failedFuture(exception);
+        }
+    }
+}
--- /dev/null
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/routing/RunnerRouter.java
@@ -0,0 +1,95 @@
+package io.fireflywalk.daemon.routing;
+
+import io.fireflywalk.core.admission.FleetPressure;
+import io.fireflywalk.core.configuration.ConfigurationSnapshot;
+import io.fireflywalk.core.configuration.Target;
+import io.fireflywalk.core.error.ErrorKind;
+import io.fireflywalk.core.error.FireflywalkException;
+import io.fireflywalk.core.routing.ExpectedTimeSelector;
+import io.fireflywalk.core.routing.LoadView;
+import io.fireflywalk.core.routing.PrefixEstimate;
+import io.fireflywalk.core.routing.RequestFeatures;
+import io.fireflywalk.core.routing.RoutingDecision;
+import io.fireflywalk.core.routing.RoutingSettings;
+import io.fireflywalk.core.routing.SentDigest;
+import io.fireflywalk.platform.time.TimerService;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+import org.jboss.logging.Logger;
+
+/** Chooses the runner of each attempt, logs the decision and feeds the view with what comes of it. Confined to one event loop. */
+public final class RunnerRouter {
+    private static final Logger LOG = Logger.getLogger(RunnerRouter.class);
+    /** Work of a generated token relative to a prompt token. */
+    private static final double OUTPUT_WEIGHT = 7;
+
+    private final LoadWatcher watcher;
+    private final LoadView view;
+    private final PrefixEstimate prefixes;
+    private final TimerService timers;
+    private final RandomGenerator random;
+    private final Map<String, ExpectedTimeSelector> selectors = new HashMap<>();
+
+    public RunnerRouter(
+            LoadWatcher watcher, LoadView view, PrefixEstimate prefixes, TimerService timers, RandomGenerator random) {
+        this.watcher = watcher;
+        this.view = view;
+        this.prefixes = prefixes;
+        this.timers = timers;
+        this.random = random;
+    }
+
+    /**
+     * Chooses a runner and counts the attempt as sent. Requests are not split between runners here, because the engines'
+     * export and import of KV cache has no published interface yet.
+     */
+    public RunnerAttempt choose(
+            ConfigurationSnapshot snapshot, String service, String requestId, RequestFeatures request)
+            throws FireflywalkException {
+        long now = timers.monotonicNanoseconds();
+        List<Target> targets = watcher.targetsOf(snapshot, service);
+        RoutingDecision decision = selector(snapshot, service)
+                .select(request, targets, now, random)
+                .orElseThrow(() ->
+                        new FireflywalkException(ErrorKind.NO_TARGET, "no eligible target", "service " + service));
+        LOG.infof(
+                "event=routing request=%s service=%s chosen=%s estimates=%s prompt=%d output=%d candidates=%d",
+                requestId,
+                service,
+                decision.chosen().name(),
+                decision.estimates(),
+                request.promptTokens(),
+                request.expectedOutputTokens(),
+                targets.size());
+        return new RunnerAttempt(decision, request, view, prefixes, timers);
+    }
+
+    /** Returns the pressure on a model service. */
+    public FleetPressure pressure(ConfigurationSnapshot snapshot, String service) {
+        List<Target> targets = watcher.targetsOf(snapshot, service);
+        return selector(snapshot, service).pressure(targets, OUTPUT_WEIGHT, timers.monotonicNanoseconds());
+    }
+
+    /** Returns what was sent since the last heartbeat. */
+    public SentDigest takeDigest() {
+        return view.takeDigest();
+    }
+
+    /** Takes what a peer sent. */
+    public void peerSent(SentDigest digest) {
+        view.peerSent(digest, timers.monotonicNanoseconds());
+    }
+
+    private ExpectedTimeSelector selector(ConfigurationSnapshot snapshot, String service) {
+        if (!selectors.containsKey(service)) {
+            selectors.keySet().removeIf(name -> snapshot.service(name).isEmpty());
+            selectors.put(
+                    service,
+                    new ExpectedTimeSelector(
+                            view, prefixes, RoutingSettings.defaults().withSplit(false)));
+        }
+        return selectors.get(service);
+    }
+}
