--- /dev/null
+++ b/fireflywalk-core/src/test/java/io/fireflywalk/core/routing/RunnerLoadTest.java
@@ -0,0 +1,96 @@
+package io.fireflywalk.core.routing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+/** Guards against wrong conclusions from late, missing, false or contradictory load reports. */
+class RunnerLoadTest {
+    private static final long SECOND = 1_000_000_000L;
+
+    private final RunnerLoad load = new RunnerLoad(RunnerProfile.defaults());
+
+    private static LoadReport report(int running, int waiting, long tokens, long sequence) {
+        return new LoadReport("draft", "1", RunnerRole.MIXED, running, waiting, tokens, 0.1, sequence);
+    }
+
+    @Test
+    void impossibleReportIsDropped() {
+        load.reported(report(5, 1, 1_000, 1), SECOND);
+        load.reported(report(-1, 0, 0, 2), SECOND);
+        load.reported(report(0, 0, 90_000, 3), SECOND);
+        assertEquals(5, load.decoding(SECOND), 1e-9);
+    }
+
+    @Test
+    void overtakenReportIsDroppedAndRestartedEngineIsRecognised() {
+        load.reported(report(5, 0, 0, 10), 0);
+        assertFalse(load.reported(report(50, 0, 0, 9), SECOND));
+        assertEquals(5, load.decoding(SECOND), 1e-9);
+        assertTrue(load.reported(report(1, 0, 0, 1), 3 * SECOND));
+        assertEquals(1, load.decoding(3 * SECOND), 1e-9);
+    }
+
+    @Test
+    void ownRequestsCountBeforeTheNextReportShowsThem() {
+        load.reported(report(0, 0, 0, 1), 0);
+        double before = load.firstTokenSeconds(600, SECOND / 10);
+        load.sent(20_000, SECOND / 10);
+        assertTrue(load.firstTokenSeconds(600, SECOND / 10) > before + 0.5);
+    }
+
+    @Test
+    void peersRequestsCountOnlyUntilAReportCoversThem() {
+        load.reported(report(0, 0, 0, 1), 0);
+        load.peerSent(40_000, 2, SECOND);
+        double during = load.queuedTokens(SECOND);
+        load.reported(report(0, 0, 0, 2), 2 * SECOND);
+        assertTrue(during > 10_000, "queued " + during);
+        assertEquals(0, load.queuedTokens(2 * SECOND), 1e-9);
+    }
+
+    @Test
+    void silentRunnerStaysEligibleWithBoundedPenalty() {
+        load.reported(report(90, 0, 0, 1), 0);
+        assertFalse(load.avoided(600 * SECOND));
+        assertEquals(8, load.generating(600 * SECOND), 1);
+        assertEquals(0.4, load.silencePenaltySeconds(600 * SECOND), 1e-9);
+        assertEquals(0, load.silencePenaltySeconds(SECOND), 1e-9);
+    }
+
+    @Test
+    void runnerThatReportsButGivesNoTokenIsAvoidedUntilItDoes() {
+        load.sent(600, 0);
+        for (int second = 1; second <= 10; second++) {
+            load.reported(report(0, 0, 0, second), second * SECOND);
+        }
+        assertTrue(load.avoided(10 * SECOND));
+        load.firstToken(600, 0.1, 10, 10 * SECOND);
+        assertFalse(load.avoided(10 * SECOND));
+    }
+
+    @Test
+    void failuresAreAvoidedForGrowingTimes() {
+        load.failed(0);
+        assertTrue(load.avoided(SECOND / 2));
+        assertFalse(load.avoided(SECOND));
+        load.failed(SECOND);
+        assertTrue(load.avoided(2 * SECOND));
+        assertFalse(load.avoided(3 * SECOND));
+    }
+
+    @Test
+    void slowRunnerLooksSlowAfterSeveralFirstTokens() {
+        load.reported(report(0, 0, 0, 1), 0);
+        double before = load.firstTokenSeconds(6_000, 0);
+        for (int i = 0; i < 30; i++) {
+            load.sent(6_000, 0);
+            load.firstToken(6_000, 0.4, 3, 0);
+            load.ended();
+        }
+        load.reported(report(0, 0, 0, 2), SECOND);
+        assertTrue(load.firstTokenSeconds(6_000, SECOND) > 2 * before);
+    }
+}
--- /dev/null
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/routing/LoadWatcherTest.java
@@ -0,0 +1,94 @@
+package io.fireflywalk.daemon.routing;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.codahale.metrics.MetricRegistry;
+import io.fireflywalk.core.configuration.ConfigurationSnapshot;
+import io.fireflywalk.core.configuration.DocumentChange;
+import io.fireflywalk.core.configuration.OrderChecking;
+import io.fireflywalk.core.configuration.Service;
+import io.fireflywalk.core.configuration.ServiceType;
+import io.fireflywalk.core.configuration.Target;
+import io.fireflywalk.core.configuration.TargetCharge;
+import io.fireflywalk.core.routing.LoadView;
+import io.fireflywalk.core.routing.PrefixEstimate;
+import io.fireflywalk.core.routing.RunnerProfile;
+import io.fireflywalk.platform.time.VertxTimerService;
+import io.fireflywalk.standin.ModelEngineServer;
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards the polling of runners over HTTP: reports reach the view and unreachable runners are avoided. */
+class LoadWatcherTest {
+    private static final String HOST = "127.0.0.1";
+    private static final long SECOND = 1_000_000_000L;
+
+    private final Vertx vertx = Vertx.vertx();
+    private final Context context = vertx.getOrCreateContext();
+
+    @AfterEach
+    void close() {
+        vertx.close().toCompletionStage().toCompletableFuture().join();
+    }
+
+    private static Target target(String name, int port) {
+        return new Target(
+                name,
+                "draft",
+                HOST,
+                port,
+                "zone-a",
+                "1",
+                TargetCharge.REGULAR,
+                OrderChecking.CHECKS_FENCING_TOKEN,
+                false);
+    }
+
+    @Test
+    void reportingRunnerIsKnownAndUnreachableOneIsAvoided() throws Exception {
+        int port = new ModelEngineServer(vertx, "draft", "1", 5)
+                .listen(HOST, 0)
+                .toCompletionStage()
+                .toCompletableFuture()
+                .get(10, TimeUnit.SECONDS);
+        ConfigurationSnapshot snapshot = ConfigurationSnapshot.empty()
+                .apply(
+                        1,
+                        List.of(
+                                DocumentChange.put(new Service("draft", ServiceType.MODEL, List.of(), 60_000, 1)),
+                                DocumentChange.put(target("reporting", port)),
+                                DocumentChange.put(target("unreachable", 1))));
+        LoadView view = new LoadView(RunnerProfile.defaults());
+        VertxTimerService timers = new VertxTimerService(vertx, context);
+        LoadWatcher watcher = new LoadWatcher(
+                vertx.createHttpClient(),
+                timers,
+                () -> snapshot,
+                "instance-1",
+                view,
+                new PrefixEstimate(),
+                new MetricRegistry());
+        CompletableFuture<Void> seen = new CompletableFuture<>();
+        context.runOnContext(ignored -> {
+            watcher.start();
+            vertx.setPeriodic(20, timer -> {
+                long now = timers.monotonicNanoseconds();
+                // A penalty arises three seconds after the last report; a runner that never reported has one at once.
+                boolean known = view.runner("reporting").silencePenaltySeconds(now + 2 * SECOND) == 0
+                        && !view.runner("reporting").avoided(now);
+                if (known && view.runner("unreachable").avoided(now)) {
+                    seen.complete(null);
+                }
+            });
+        });
+        seen.get(20, TimeUnit.SECONDS);
+        assertTrue(seen.isDone());
+        assertFalse(seen.isCompletedExceptionally());
+    }
+}
