--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/admission/AdmissionSettings.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/admission/AdmissionSettings.java
@@ -23,7 +23,7 @@
         int queuedTotal,
         double queueSeconds,
         double outputWeight) {
-    private static final AdmissionSettings DEFAULT = new AdmissionSettings(0.5, 1.15, 4, 20_000, 5, 64, 1_024, 0.4, 7);
+    private static final AdmissionSettings DEFAULT = new AdmissionSettings(0.35, 1.3, 4, 20_000, 5, 64, 1_024, 0.4, 7);
 
     /** Returns the settings that the measurements under {@code bench/results/} chose. */
     public static AdmissionSettings defaults() {
