--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/routing/Lanes.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/routing/Lanes.java
@@ -83,7 +83,7 @@
             switch (load.role()) {
                 case PREFILL -> prefillers[prefillCount++] = index;
                 case DECODE -> decoders[decodeCount++] = index;
-                case MIXED -> mixed[usable++] = index;
+                default -> mixed[usable++] = index;
             }
         }
         int boundary = boundary(usable, now);
