--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/Daemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/Daemon.java
@@ -2,12 +2,17 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import io.fireflywalk.core.admission.FleetPressure;
 import io.fireflywalk.core.configuration.ConfigurationSnapshot;
 import io.fireflywalk.core.configuration.ServiceType;
 import io.fireflywalk.core.configuration.Target;
 import io.fireflywalk.core.lease.LeaseUnit;
 import io.fireflywalk.core.membership.Member;
+import io.fireflywalk.core.routing.LoadView;
+import io.fireflywalk.core.routing.PrefixEstimate;
+import io.fireflywalk.core.routing.RunnerProfile;
 import io.fireflywalk.core.routing.TargetSelector;
+import io.fireflywalk.daemon.admission.AdmissionGate;
 import io.fireflywalk.daemon.authority.AuthoritySettings;
 import io.fireflywalk.daemon.authority.LeaseKeeper;
 import io.fireflywalk.daemon.claim.ClaimParts;
@@ -22,6 +27,8 @@
 import io.fireflywalk.daemon.operators.ProcessMetrics;
 import io.fireflywalk.daemon.peer.PeerClient;
 import io.fireflywalk.daemon.peer.PeerServer;
+import io.fireflywalk.daemon.routing.LoadWatcher;
+import io.fireflywalk.daemon.routing.RunnerRouter;
 import io.fireflywalk.daemon.settings.DaemonSettings;
 import io.fireflywalk.daemon.usage.UsageParts;
 import io.fireflywalk.operator.message.StatusTable;
@@ -35,6 +42,7 @@
 import io.reactivex.rxjava3.core.Single;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClientOptions;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -54,6 +62,9 @@
     private final TimerService timers;
     private final Coordination coordination;
     private final LeaseKeeper leases;
+    private final LoadWatcher loads;
+    private final RunnerRouter router;
+    private final AdmissionGate admission;
     private final UsageParts usage;
     private final ClaimParts claims;
     private final GatewayServer gateway;
@@ -99,6 +110,21 @@
                 vertx, settings, tables, timers, self, coordination.heartbeats(), this::reportToken, peers, metrics);
         this.claims =
                 ClaimParts.create(vertx, settings, tables, timers, self, coordination.heartbeats(), peers, metrics);
+        LoadView view = new LoadView(RunnerProfile.defaults());
+        PrefixEstimate prefixes = new PrefixEstimate();
+        this.loads = new LoadWatcher(
+                vertx.createHttpClient(new HttpClientOptions()
+                        .setConnectTimeout((int) settings.targets().connectMilliseconds())),
+                timers,
+                coordination::snapshot,
+                settings.instance().name(),
+                view,
+                prefixes,
+                metrics,
+                Duration.ofMillis(settings.routing().loadPollMilliseconds()));
+        this.router = new RunnerRouter(loads, view, prefixes, timers, RandomGenerator.getDefault());
+        this.admission = new AdmissionGate(
+                timers, coordination::snapshot, this::pressure, RandomGenerator.getDefault(), metrics);
         this.gateway = new GatewayServer(vertx, gatewayContext(vertx, metrics), coordination::mayServeKeyedRoutes);
         this.operators = new OperatorServer(
                 vertx,
@@ -116,6 +142,13 @@
         registerCoordination(metrics);
     }
 
+    private FleetPressure pressure(ConfigurationSnapshot snapshot, String service) {
+        return snapshot.service(service)
+                .filter(found -> found.type() == ServiceType.MODEL)
+                .map(found -> router.pressure(snapshot, service))
+                .orElse(FleetPressure.none());
+    }
+
     /** Units of authority that follow from the configuration and the open usage windows. */
     private List<LeaseUnit> leaseUnits() {
         List<LeaseUnit> units = new ArrayList<>();
@@ -188,12 +221,16 @@
                 new RetryGovernor(settings.retries(), timers, random),
                 usage.recorder(),
                 claims.service(),
+                router,
+                admission,
                 metrics);
     }
 
     /** Starts all parts and returns the bound ports. */
     public Future<BoundPorts> start() {
         leases.start();
+        loads.start();
+        admission.start();
         usage.start();
         claims.start();
         String host = settings.instance().host();
@@ -247,6 +284,8 @@
                         .takeUntil(timers.after(drainLimit).toFlowable())
                         .ignoreElements())
                 .andThen(Completable.defer(() -> {
+                    admission.stop();
+                    loads.stop();
                     claims.stop();
                     usage.stop();
                     return usage.flush()
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/GatewayContext.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/GatewayContext.java
@@ -2,7 +2,9 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.fireflywalk.core.configuration.ConfigurationSnapshot;
+import io.fireflywalk.daemon.admission.AdmissionGate;
 import io.fireflywalk.daemon.claim.ClaimService;
+import io.fireflywalk.daemon.routing.RunnerRouter;
 import io.fireflywalk.daemon.settings.DaemonSettings;
 import io.fireflywalk.daemon.usage.UsageRecorder;
 import io.fireflywalk.platform.time.TimerService;
@@ -19,6 +21,8 @@
  * @param retries budgets and circuit breakers
  * @param usage recorder of usage
  * @param claims idempotency claims
+ * @param router choice of runners for model requests
+ * @param admission admission of requests
  * @param memory budget of buffered bodies
  * @param metrics metrics of the request path
  */
@@ -31,6 +35,8 @@
         RetryGovernor retries,
         UsageRecorder usage,
         ClaimService claims,
+        RunnerRouter router,
+        AdmissionGate admission,
         BodyMemory memory,
         GatewayMetrics metrics) {
 
@@ -44,11 +50,24 @@
             RetryGovernor retries,
             UsageRecorder usage,
             ClaimService claims,
+            RunnerRouter router,
+            AdmissionGate admission,
             MetricRegistry registry) {
         BodyMemory memory = new BodyMemory(settings.limits().bodyMemoryBytes());
         GatewayMetrics metrics = new GatewayMetrics(registry);
         metrics.registerGauges(retries, memory);
         return new GatewayContext(
-                settings, snapshots, timers, connections, pool, retries, usage, claims, memory, metrics);
+                settings,
+                snapshots,
+                timers,
+                connections,
+                pool,
+                retries,
+                usage,
+                claims,
+                router,
+                admission,
+                memory,
+                metrics);
     }
 }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/ModelCall.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/ModelCall.java
@@ -2,6 +2,7 @@
 
 import io.fireflywalk.core.configuration.Target;
 import io.fireflywalk.core.error.ErrorKind;
+import io.fireflywalk.core.routing.RequestFeatures;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
@@ -20,6 +21,7 @@
     private static final TokenUsage NO_USAGE = new TokenUsage(0, 0);
 
     private final ModelRequest model;
+    private final RequestFeatures features;
     private final BodyCollector collector;
     private final List<AnswerBody> answers = new ArrayList<>();
 
@@ -27,10 +29,12 @@
             GatewayContext context,
             RequestScope scope,
             ModelRequest model,
+            RequestFeatures features,
             BodyCollector collector,
             Duration deadline) {
         super(context, scope, model.model(), true, deadline);
         this.model = model;
+        this.features = features;
         this.collector = collector;
     }
 
@@ -50,6 +54,11 @@
         }
     }
 
+    @Override
+    final Optional<RequestFeatures> features() {
+        return Optional.of(features);
+    }
+
     @Override
     boolean eligible(Target target) {
         return true;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/PlainRequestHandler.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/PlainRequestHandler.java
@@ -9,6 +9,8 @@
 import io.fireflywalk.daemon.claim.ClaimedExchange;
 import io.fireflywalk.daemon.claim.RequestDigest;
 import io.reactivex.rxjava3.disposables.Disposable;
+import io.vertx.core.Future;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerResponse;
 import java.time.Duration;
 import java.util.Optional;
@@ -40,13 +42,33 @@
                 CallerInput.deadline(scope.request(), routed.service().defaultDeadlineMilliseconds());
         String uri = KeyRemover.uriWithoutKey(scope.request().uri(), scope.presentedKey());
         Optional<String> idempotencyKey = idempotencyKey(scope, routed.route());
+        scope.request().pause();
+        scope.response().closeHandler(ignored -> scope.ended().ended());
+        context.admission()
+                .admitPlain(scope.clientAccount(), routed.service().name(), deadline.toMillis())
+                .onFailure(cause -> {
+                    FireflywalkException known = ErrorResponder.asKnown(cause, "admission");
+                    context.metrics().requestEnded(known.kind().code());
+                    scope.fail(known);
+                })
+                .onSuccess(ignored -> {
+                    long waited = context.timers().monotonicNanoseconds() - receivedNanoseconds;
+                    if (!scope.response().closed()) {
+                        admitted(scope, routed, uri, deadline.minusNanos(waited), idempotencyKey);
+                    }
+                });
+    }
+
+    private void admitted(
+            RequestScope scope, RoutedService routed, String uri, Duration deadline, Optional<String> idempotencyKey) {
+        long receivedNanoseconds = context.timers().monotonicNanoseconds();
+        long length = CallerInput.declaredLength(scope.request());
         if (idempotencyKey.isPresent()) {
             claimAndCall(scope, routed, uri, deadline, idempotencyKey.get());
             return;
         }
         int collectedBytes = context.settings().limits().repeatableBodyBytes();
         if (length < 0 || length > collectedBytes) {
-            scope.request().pause();
             new PlainCall(context, scope, routed, uri, deadline).begin();
             return;
         }
@@ -55,8 +77,9 @@
             collector.release();
             scope.ended().ended();
         });
-        collector
-                .collect()
+        Future<Buffer> collected = collector.collect();
+        scope.request().resume();
+        collected
                 .onSuccess(body -> new PlainCall(
                                 context,
                                 scope,
@@ -85,7 +108,9 @@
         long receivedNanoseconds = context.timers().monotonicNanoseconds();
         BodyCollector collector = new BodyCollector(
                 context, scope.request(), context.settings().limits().bodyBytes());
-        collector.collect().onFailure(cause -> refuse(scope, collector, cause)).onSuccess(body -> {
+        Future<Buffer> collected = collector.collect();
+        scope.request().resume();
+        collected.onFailure(cause -> refuse(scope, collector, cause)).onSuccess(body -> {
             String digest = RequestDigest.of(scope.request().method().name(), uri, body);
             Disposable unused = context.claims()
                     .claimBeforeFirstAttempt(scope.clientAccount(), key, digest)
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/StreamCall.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/StreamCall.java
@@ -4,6 +4,7 @@
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.RunState;
 import io.fireflywalk.core.request.TokenStreamJoiner;
+import io.fireflywalk.core.routing.RequestFeatures;
 import io.reactivex.rxjava3.disposables.Disposable;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
@@ -32,9 +33,10 @@
             GatewayContext context,
             RequestScope scope,
             ModelRequest model,
+            RequestFeatures features,
             BodyCollector collector,
             Duration deadline) {
-        super(context, scope, model, collector, deadline);
+        super(context, scope, model, features, collector, deadline);
         var limits = context.settings().targets();
         this.joiner = new TokenStreamJoiner(
                 TokenText::read, limits.eventBytes(), limits.resumeCharacters(), MAXIMUM_HELD_EVENTS);
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/TargetAttempt.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/TargetAttempt.java
@@ -3,6 +3,7 @@
 import io.fireflywalk.core.configuration.Target;
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
+import io.fireflywalk.daemon.routing.RunnerAttempt;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
@@ -25,6 +26,8 @@
     private Optional<HttpClientRequest> request = Optional.empty();
     private String waitingFor = "connection";
     private boolean sent;
+    private boolean bodyBegun;
+    private Optional<RunnerAttempt> runner = Optional.empty();
     private boolean ended;
 
     /** What the owner of an attempt does at each step. */
@@ -60,6 +63,11 @@
                 .onFailure(cause -> fail(ErrorKind.TARGET_FAILED, "no connection to the target", cause));
     }
 
+    /** Tells the load estimates of the runner how the attempt goes. */
+    void observe(RunnerAttempt observer) {
+        runner = Optional.of(observer);
+    }
+
     Target target() {
         return target;
     }
@@ -84,10 +92,15 @@
     /** Notes progress of the request or the answer. */
     void progress() {
         timer.progress();
+        if (bodyBegun) {
+            runner.ifPresent(RunnerAttempt::progressed);
+        }
     }
 
     /** Watches the gaps of the answer's body from now on. */
     void bodyBegun() {
+        bodyBegun = true;
+        runner.ifPresent(RunnerAttempt::progressed);
         waitingFor = "more of the answer";
         timer.start(Duration.ofMillis(context.settings().targets().gapMilliseconds()));
     }
@@ -105,6 +118,7 @@
     /** Ends the attempt after a complete answer; its connection may be used again. */
     void complete() {
         ended = true;
+        runner.ifPresent(RunnerAttempt::ended);
         timer.stop();
         request.ifPresent(opened -> context.connections().answered(opened.connection()));
     }
@@ -125,6 +139,7 @@
             return;
         }
         ended = true;
+        runner.ifPresent(RunnerAttempt::ended);
         timer.stop();
         request.ifPresent(HttpClientRequest::reset);
         if (sent && cancellable) {
@@ -138,6 +153,9 @@
         if (ended) {
             return;
         }
+        if (kind != ErrorKind.TARGET_REFUSED) {
+            runner.ifPresent(RunnerAttempt::failed);
+        }
         abandon();
         owner.failed(this, new FireflywalkException(kind, detail, "target " + target.name(), cause));
     }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/TargetCall.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/TargetCall.java
@@ -1,5 +1,6 @@
 package io.fireflywalk.daemon.gateway;
 
+import io.fireflywalk.core.configuration.ConfigurationSnapshot;
 import io.fireflywalk.core.configuration.Target;
 import io.fireflywalk.core.configuration.TargetCharge;
 import io.fireflywalk.core.error.ErrorKind;
@@ -7,7 +8,9 @@
 import io.fireflywalk.core.error.RunState;
 import io.fireflywalk.core.request.AttemptEvent;
 import io.fireflywalk.core.request.RequestProgress;
+import io.fireflywalk.core.routing.RequestFeatures;
 import io.fireflywalk.core.usage.UsageAmount;
+import io.fireflywalk.daemon.routing.RunnerAttempt;
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.disposables.Disposable;
 import io.vertx.core.buffer.Buffer;
@@ -20,6 +23,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * Course of one admitted request: attempts, repeats within budgets and deadline, and exactly one end. The attempt state
@@ -93,6 +97,11 @@
     /** Tells whether what is needed for a repeat is still held. */
     abstract boolean repeatable();
 
+    /** Returns what routing knows of a model request; empty for plain requests. */
+    Optional<RequestFeatures> features() {
+        return Optional.empty();
+    }
+
     /** Releases what the call holds. */
     abstract void release();
 
@@ -117,15 +126,17 @@
         if (finished) {
             return;
         }
-        Target target;
+        ChosenTarget chosen;
         try {
-            target = chooseTarget();
+            chosen = chooseTarget();
         } catch (FireflywalkException exception) {
             fail(lastFailure.orElse(exception));
             return;
         }
+        Target target = chosen.target();
         TargetAttempt attempt =
                 new TargetAttempt(context, target, progress.attempts().size(), engine(), this);
+        chosen.runner().ifPresent(attempt::observe);
         progress = progress.attemptStarted();
         triedTargets.add(target.name());
         openAttempts.add(attempt);
@@ -135,24 +146,29 @@
         attempt.start(method(), uri(), idempotent, min(headLimit(), remaining()));
     }
 
-    private Target chooseTarget() throws FireflywalkException {
+    private ChosenTarget chooseTarget() throws FireflywalkException {
         // Retries look at the configuration in force now, so that a leaving target gets no repeats.
-        var snapshot = context.snapshots().get();
+        ConfigurationSnapshot snapshot = context.snapshots().get();
         try {
-            return context.pool()
-                    .choose(
-                            snapshot,
-                            service,
-                            scope.requestId(),
-                            target -> mayTake(target) && !triedTargets.contains(target.name()));
+            return choose(snapshot, target -> mayTake(target) && !triedTargets.contains(target.name()));
         } catch (FireflywalkException exception) {
             if (triedTargets.isEmpty() || !openAttempts.isEmpty()) {
                 throw exception;
             }
             // Every other target was tried; the backoff and the breaker keep the repeat from doing harm.
             triedTargets.clear();
-            return context.pool().choose(snapshot, service, scope.requestId(), this::mayTake);
+            return choose(snapshot, this::mayTake);
+        }
+    }
+
+    private ChosenTarget choose(ConfigurationSnapshot snapshot, Predicate<Target> allowed) throws FireflywalkException {
+        if (features().isEmpty()) {
+            return new ChosenTarget(
+                    context.pool().choose(snapshot, service, scope.requestId(), allowed), Optional.empty());
         }
+        RunnerAttempt runner = context.router()
+                .choose(snapshot, service, scope.requestId(), features().get(), allowed);
+        return new ChosenTarget(runner.target(), Optional.of(runner));
     }
 
     private boolean mayTake(Target target) {
@@ -402,4 +418,7 @@
     private static Duration min(Duration first, Duration second) {
         return first.compareTo(second) < 0 ? first : second;
     }
+
+    /** A target and, for model requests, the watch of the attempt in the load estimates. */
+    private record ChosenTarget(Target target, Optional<RunnerAttempt> runner) {}
 }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/settings/DaemonSettings.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/settings/DaemonSettings.java
@@ -12,6 +12,7 @@
  * @param limits bounds of what callers may send
  * @param targets connections to targets
  * @param retries repeats of failed attempts
+ * @param routing choice of runners
  * @param shutdown steps of a graceful shutdown
  * @param usage usage windows
  * @param claims idempotency claims
@@ -26,6 +27,7 @@
         Limits limits,
         TargetSettings targets,
         RetrySettings retries,
+        RoutingSettings routing,
         Shutdown shutdown,
         UsageSettings usage,
         ClaimSettings claims,
@@ -116,6 +118,9 @@
             int hedgeBodyBytes,
             int hedgeTokens) {}
 
+    /** Period of load polls; 0 turns them off, so that runners are judged by own attempts only. */
+    public record RoutingSettings(long loadPollMilliseconds) {}
+
     /** Steps of a graceful shutdown. */
     public record Shutdown(long balancerDelayMilliseconds, long drainLimitMilliseconds) {}
 
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/gateway/GatewayFixture.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/gateway/GatewayFixture.java
@@ -43,6 +43,7 @@
     static final String SETTINGS = """
             listen: {callerPort: 0, operatorPort: 0, peerPort: 0}
             configuration: {pollMilliseconds: 20}
+            routing: {loadPollMilliseconds: 0}
             limits: {bodyBytes: 100000, bodyMemoryBytes: 150000, headerBytes: 4096, requestLineBytes: 1024,
               slowSenderMilliseconds: 400, repeatableBodyBytes: 1000, maximumTokens: 1000, callerConnections: 20}
             targets: {connectMilliseconds: 500, headMilliseconds: 400, wholeAnswerMilliseconds: 400,
