--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/placement/ModelPlanner.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/placement/ModelPlanner.java
@@ -71,7 +71,7 @@
     }
 
     private static double shortfall(PlacementRun run, ModelDemand demand, List<RunnerView> runners) {
-        DemandForecast forecast = DemandForecast.of(demand, run.settings());
+        DemandForecast forecast = run.forecast(demand);
         double need = Math.max(forecast.expected() / run.settings().utilization(), demand.minimumTargets());
         double shortNow = need - runners.size();
         if (!demand.zoneSpare()) {
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/placement/PlacementRun.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/placement/PlacementRun.java
@@ -22,6 +22,7 @@
     private final Map<String, Long> lastChange;
     private final Map<TargetPool, Long> surplusSince;
     private final Map<String, Long> zoneLost;
+    private final Map<ServedModel, DemandForecast> forecasts = new HashMap<>();
     private final List<PlacementDecision> decisions = new ArrayList<>();
     private WeightStoreBudget budget;
     private long nextChange;
@@ -72,6 +73,10 @@
         return pending.containsKey(runner);
     }
 
+    DemandForecast forecast(ModelDemand demand) {
+        return forecasts.computeIfAbsent(demand.served(), served -> DemandForecast.of(demand, settings));
+    }
+
     double secondsSince(long time) {
         return (now - time) / NANOSECONDS_PER_SECOND;
     }
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/placement/RolePlanner.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/placement/RolePlanner.java
@@ -28,7 +28,7 @@
         Split present = Split.of(serving);
         double lossNow = present.loss(window, run.settings());
         boolean settled = window.size() >= LEAST_WINDOW * run.settings().windowSamples()
-                && !shifting(window, DemandForecast.of(demand, run.settings()).present());
+                && !shifting(window, run.forecast(demand).present());
         Optional<Move> best = Optional.empty();
         for (RunnerRole dedicated : List.of(RunnerRole.PREFILL, RunnerRole.DECODE)) {
             best = better(best, run, serving, window, lossNow, dedicated, RunnerRole.MIXED);
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/placement/TargetPlan.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/placement/TargetPlan.java
@@ -5,7 +5,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 
 /**
  * Wanted number of targets of a model by zone and charge: the cheapest that carries the work, keeps the non-movable part
@@ -32,21 +31,24 @@
         int urgent = PreemptibleBound.ceiling(work * (1 - demand.movableFraction()) / settings.utilization());
         int least = demand.zoneSpare() ? withZoneSpare(urgent, count) : urgent;
         int most = demand.zoneSpare() ? withZoneSpare(total, count) : total;
-        Optional<TargetPlan> best = Optional.empty();
+        int bestRegular = Math.max(least, total);
+        int bestPreemptible = 0;
         double bestCharge = Double.POSITIVE_INFINITY;
         for (int regular = least; regular <= Math.max(least, most); regular++) {
-            TargetPlan plan = spread(regular, leastPreemptible(regular, total, required, count), zones);
-            while (demand.zoneSpare() && count > 1 && plan.total() - plan.largestZone() < required) {
-                plan = spread(regular, plan.total() - regular + 1, zones);
+            int preemptible = leastPreemptible(regular, total, required, count);
+            if (demand.zoneSpare() && count > 1) {
+                preemptible = Math.max(preemptible, withZoneSpare(required, count) - regular);
             }
-            double charge = regular + (plan.total() - regular) * settings.preemptibleCharge();
-            boolean bounded = new PreemptibleBound(regular, plan.preemptible(), settings).holds(required);
+            double charge = regular + preemptible * settings.preemptibleCharge();
+            boolean bounded =
+                    preemptible == 0 || regular + preemptible - ceilingOfQuotient(preemptible, count) >= required;
             if (bounded && charge < bestCharge) {
-                best = Optional.of(plan);
+                bestRegular = regular;
+                bestPreemptible = preemptible;
                 bestCharge = charge;
             }
         }
-        return best.orElseGet(() -> spread(Math.max(least, total), 0, zones));
+        return spread(bestRegular, bestPreemptible, zones);
     }
 
     /** Returns the wanted number in a zone at a charge. */
@@ -65,15 +67,12 @@
         return count(TargetCharge.REGULAR) + count(TargetCharge.PREEMPTIBLE);
     }
 
-    private int largestZone() {
-        return regular.keySet().stream()
-                .mapToInt(zone -> count(zone, TargetCharge.REGULAR) + count(zone, TargetCharge.PREEMPTIBLE))
-                .max()
-                .orElse(0);
+    private static int withZoneSpare(int needed, int zones) {
+        return zones == 1 ? needed : needed + ceilingOfQuotient(needed, zones - 1);
     }
 
-    private static int withZoneSpare(int needed, int zones) {
-        return zones == 1 ? needed : needed + (needed + zones - 2) / (zones - 1);
+    private static int ceilingOfQuotient(int dividend, int divisor) {
+        return (dividend + divisor - 1) / divisor;
     }
 
     private static int leastPreemptible(int regular, int total, int required, int zones) {
@@ -82,7 +81,7 @@
         if (afterLoss == 0 || zones == 1) {
             return forWork;
         }
-        return Math.max(forWork, afterLoss + (afterLoss + zones - 2) / (zones - 1));
+        return Math.max(forWork, afterLoss + ceilingOfQuotient(afterLoss, zones - 1));
     }
 
     /** Spreads regular targets from the first zone on and preemptible ones from where the regular ones ended. */
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/placement/TargetPlanner.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/placement/TargetPlanner.java
@@ -20,20 +20,61 @@
 final class TargetPlanner {
     /** Margin of the demand to which releases go down, so that noise does not order what was just released. */
     private static final double RELEASE_MARGIN = 1.1;
+    /** Amounts of work between the window's least and greatest at which a release must leave enough. */
+    private static final int RELEASE_STEPS = 8;
 
     void plan(PlacementRun run, ModelDemand demand, Set<String> orderZones) {
         List<String> zones = run.orderableZones();
-        DemandForecast forecast = DemandForecast.of(demand, run.settings());
+        DemandForecast forecast = run.forecast(demand);
         double orderNeed = forecast.expected();
         double keepNeed = Math.max(forecast.peak(), forecast.expected()) * RELEASE_MARGIN;
-        TargetPlan wanted = TargetPlan.of(orderNeed, demand, zones, run.settings());
-        TargetPlan kept = TargetPlan.of(keepNeed, demand, zones, run.settings());
+        TargetPlan kept = kept(forecast.least() / RELEASE_MARGIN, keepNeed, demand, zones, run.settings());
+        int keptTotal = TargetPlan.of(keepNeed, demand, zones, run.settings()).total();
         for (TargetCharge charge : TargetCharge.values()) {
+            List<String> prompt = zones.stream()
+                    .filter(zone -> !late(run, demand.served(), zone, charge))
+                    .toList();
+            TargetPlan wanted = TargetPlan.of(orderNeed, demand, prompt, run.settings());
             order(run, demand, wanted, charge, orderZones, orderNeed);
         }
         for (TargetCharge charge : TargetCharge.values()) {
-            release(run, demand, kept, charge, orderZones, keepNeed);
+            if (targets(run, demand) > keptTotal) {
+                release(run, demand, kept, charge, orderZones, keepNeed);
+            }
+        }
+    }
+
+    private static TargetPlan kept(
+            double least, double most, ModelDemand demand, List<String> zones, PlacementSettings settings) {
+        Map<String, Integer> regular = new LinkedHashMap<>();
+        Map<String, Integer> preemptible = new LinkedHashMap<>();
+        int regularTotal = 0;
+        int preemptibleTotal = 0;
+        for (int step = 0; step <= RELEASE_STEPS; step++) {
+            double work = least + (most - least) * step / RELEASE_STEPS;
+            TargetPlan plan = TargetPlan.of(work, demand, zones, settings);
+            if (plan.count(TargetCharge.REGULAR) >= regularTotal) {
+                regularTotal = plan.count(TargetCharge.REGULAR);
+                regular = plan.regular();
+            }
+            if (plan.count(TargetCharge.PREEMPTIBLE) >= preemptibleTotal) {
+                preemptibleTotal = plan.count(TargetCharge.PREEMPTIBLE);
+                preemptible = plan.preemptible();
+            }
         }
+        return new TargetPlan(regular, preemptible);
+    }
+
+    private static int targets(PlacementRun run, ModelDemand demand) {
+        int count = 0;
+        for (TargetCharge charge : TargetCharge.values()) {
+            count += sum(have(run, demand.served(), charge));
+        }
+        return count;
+    }
+
+    private static int sum(Map<String, Integer> counts) {
+        return counts.values().stream().mapToInt(Integer::intValue).sum();
     }
 
     private static void order(
@@ -46,8 +87,8 @@
         Map<String, Integer> have = have(run, demand.served(), charge);
         int shortage = wanted.count(charge)
                 - have.values().stream().mapToInt(Integer::intValue).sum();
-        List<String> zones = run.orderableZones().stream()
-                .filter(zone -> orderZones.contains(zone) && !late(run, demand.served(), zone, charge))
+        List<String> zones = wanted.regular().keySet().stream()
+                .filter(orderZones::contains)
                 .sorted(Comparator.comparingInt(
                                 (String zone) -> have.getOrDefault(zone, 0) - wanted.count(zone, charge))
                         .thenComparing(zone -> zone))
@@ -74,7 +115,7 @@
             Set<String> orderZones,
             double need) {
         Map<String, Integer> have = have(run, demand.served(), charge);
-        int surplus = have.values().stream().mapToInt(Integer::intValue).sum() - kept.count(charge);
+        int surplus = sum(have) - kept.count(charge);
         List<RunnerView> serving = run.serving(demand.served());
         Optional<RunnerView> candidate = run.changeable(serving).stream()
                 .filter(runner -> runner.charge() == charge && orderZones.contains(runner.availabilityZone()))
