--- /dev/null
+++ b/fireflywalk-benchmark/src/main/java/io/fireflywalk/benchmark/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements of placement in virtual time. */
+package io.fireflywalk.benchmark.placement;
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/placement/PlacementSettings.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/placement/PlacementSettings.java
@@ -51,6 +51,6 @@
     /** Returns the constants that the daemon and the measurements use. */
     public static PlacementSettings defaults() {
         return new PlacementSettings(
-                5, 120, 300, 0.25, 10, 60, 6, 0.5, 0.15, 0.7, 0.9, 60, 0.1, 5, 30, 0.5, 60, 180, 180, 300, 0.35);
+                5, 120, 300, 0.25, 10, 60, 6, 0.5, 0.03, 0.7, 0.9, 60, 0.2, 5, 30, 0.5, 60, 180, 180, 300, 0.35);
     }
 }
