--- a/fireflywalk-benchmark/src/main/java/io/fireflywalk/benchmark/placement/Trial.java
+++ b/fireflywalk-benchmark/src/main/java/io/fireflywalk/benchmark/placement/Trial.java
@@ -29,6 +29,9 @@
     static final double MOVABLE_FRACTION = 0.7;
     static final long SECOND = 1_000_000_000L;
     private static final int SAMPLE_SECONDS = 5;
+    /** Time in which queued prompts should be computed; they count as demand, or a queue would never draw a change. */
+    private static final double QUEUE_CLEARING_SECONDS = 30;
+
     private static final int NOTICE_SECONDS = 5;
     private static final int DELIVERY_SECONDS = 60;
     private static final int DRAIN_TAIL_SECONDS = 120;
@@ -108,7 +111,9 @@
 
     private void tick(int second) {
         if (second > 0 && second % SAMPLE_SECONDS == 0) {
-            history.add(new Work(offeredPrefill / SAMPLE_SECONDS, offeredDecode / SAMPLE_SECONDS));
+            history.add(new Work(
+                    offeredPrefill / SAMPLE_SECONDS + queuedPrefillSeconds() / QUEUE_CLEARING_SECONDS,
+                    offeredDecode / SAMPLE_SECONDS));
             offeredPrefill = 0;
             offeredDecode = 0;
         }
@@ -145,6 +150,13 @@
                 ZONES, runners.values().stream().map(TrialRunner::view).toList(), List.of(demand), reports, pending);
     }
 
+    private double queuedPrefillSeconds() {
+        long tokens = runners.values().stream()
+                .mapToLong(runner -> runner.queuedPrefill)
+                .sum();
+        return tokens * WorkMeter.PROMPT_TOKEN_SECONDS;
+    }
+
     private void deliver(int second) {
         for (Delivery delivery : List.copyOf(deliveries)) {
             if (second - delivery.ordered() >= DELIVERY_SECONDS) {
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/placement/ModelDemand.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/placement/ModelDemand.java
@@ -6,7 +6,8 @@
  * Demand for a served model and the promises of its service.
  *
  * @param served the model
- * @param history samples at the settings' period, the oldest first and the present one last
+ * @param history samples at the settings' period, the oldest first and the present one last; queued work counts
+ *     with the rate at which it should be worked off
  * @param minimumTargets serving runners below which no change and no release may go
  * @param zoneSpare whether the loss of one availability zone must leave enough runners
  * @param movableFraction part of the work that may be lost and resumed
