--- a/fireflywalk-benchmark/src/main/java/io/fireflywalk/benchmark/BenchmarkMain.java
+++ b/fireflywalk-benchmark/src/main/java/io/fireflywalk/benchmark/BenchmarkMain.java
@@ -1,6 +1,13 @@
 package io.fireflywalk.benchmark;
 
+import io.fireflywalk.benchmark.authority.StoreLoadBenchmark;
+import io.fireflywalk.benchmark.authority.TakeoverBenchmark;
+import io.fireflywalk.benchmark.configuration.ConfigurationBenchmark;
+import io.fireflywalk.benchmark.configuration.RevocationBenchmark;
+import io.fireflywalk.benchmark.placement.PlacementBenchmark;
+import io.fireflywalk.benchmark.policy.PolicyMain;
 import io.fireflywalk.benchmark.requestpath.RequestPathMain;
+import io.fireflywalk.benchmark.usage.UsageBenchmark;
 import java.util.Arrays;
 import java.util.Map;
 import java.util.TreeMap;
@@ -14,7 +21,14 @@
     /** Runs the measurement that the first argument names. */
     public static void main(String[] arguments) throws Exception {
         Map<String, Measurement> measurements = new TreeMap<>();
+        measurements.put("authority-store-load", StoreLoadBenchmark::main);
+        measurements.put("authority-takeover", TakeoverBenchmark::main);
+        measurements.put("configuration", ConfigurationBenchmark::main);
+        measurements.put("placement", PlacementBenchmark::main);
+        measurements.put("policy", PolicyMain::main);
         measurements.put("request-path", RequestPathMain::main);
+        measurements.put("revocation", RevocationBenchmark::main);
+        measurements.put("usage", UsageBenchmark::main);
         if (arguments.length == 0 || !measurements.containsKey(arguments[0])) {
             System.err.println("usage: fireflywalk-benchmark MEASUREMENT [options]; measurements: "
                     + String.join(", ", measurements.keySet()));
--- a/fireflywalk-benchmark/src/main/java/io/fireflywalk/benchmark/configuration/RevocationBenchmark.java
+++ b/fireflywalk-benchmark/src/main/java/io/fireflywalk/benchmark/configuration/RevocationBenchmark.java
@@ -91,8 +91,8 @@
         for (int index = 0; index < daemons; index++) {
             DaemonSettings settings = SettingsLoader.parse(
                     "{instance: {name: instance-" + index + ", availabilityZone: zone-" + index % 4
-                            + "}, listen: {callerPort: 0, operatorPort: 0, peerPort: 0}, operatorKeys: ['"
-                            + SecretDigest.of(OPERATOR_KEY) + "']}",
+                            + "}, listen: {callerPort: 0, operatorPort: 0, peerPort: 0}, operatorKeys: [{name: benchmark, digest: '"
+                            + SecretDigest.of(OPERATOR_KEY) + "'}]}",
                     "benchmark");
             CompletableFuture<Daemon.BoundPorts> started = new CompletableFuture<>();
             Vertx ownVertx = Vertx.vertx();
