Tell peers of admitted and sent work by running totals

Cause: admission and routing count what peers did since their last digest, while the digest exchange keeps only a member's newest item. A digest that is replaced on its way would lose its work for good.

Ruled out: sending differences more often, which still loses those that are replaced; unbounded items, which do not fit the byte budget of a message.

Change: items carry totals since the start of the peer, and the receiver takes the growth.

--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/Daemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/Daemon.java
@@ -13,6 +13,7 @@
 import io.fireflywalk.core.routing.RunnerProfile;
 import io.fireflywalk.core.routing.TargetSelector;
 import io.fireflywalk.daemon.admission.AdmissionGate;
+import io.fireflywalk.daemon.admission.WorkExchange;
 import io.fireflywalk.daemon.authority.AuthoritySettings;
 import io.fireflywalk.daemon.authority.LeaseKeeper;
 import io.fireflywalk.daemon.claim.ClaimParts;
@@ -48,6 +49,7 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.Random;
+import java.util.Set;
 import java.util.UUID;
 import java.util.random.RandomGenerator;
 import org.jboss.logging.Logger;
@@ -65,6 +67,7 @@
     private final LoadWatcher loads;
     private final RunnerRouter router;
     private final AdmissionGate admission;
+    private final WorkExchange workExchange;
     private final UsageParts usage;
     private final ClaimParts claims;
     private final GatewayServer gateway;
@@ -125,6 +128,13 @@
         this.router = new RunnerRouter(loads, view, prefixes, timers, RandomGenerator.getDefault());
         this.admission = new AdmissionGate(
                 timers, coordination::snapshot, this::pressure, RandomGenerator.getDefault(), metrics);
+        this.workExchange = new WorkExchange(
+                timers,
+                coordination::snapshot,
+                () -> Set.copyOf(liveIncarnations()),
+                admission,
+                router,
+                coordination.digests());
         this.gateway = new GatewayServer(vertx, gatewayContext(vertx, metrics), coordination::mayServeKeyedRoutes);
         this.operators = new OperatorServer(
                 vertx,
@@ -231,6 +241,7 @@
         leases.start();
         loads.start();
         admission.start();
+        workExchange.start();
         usage.start();
         claims.start();
         String host = settings.instance().host();
@@ -284,6 +295,7 @@
                         .takeUntil(timers.after(drainLimit).toFlowable())
                         .ignoreElements())
                 .andThen(Completable.defer(() -> {
+                    workExchange.stop();
                     admission.stop();
                     loads.stop();
                     claims.stop();
