Use one rendezvous hashing and keep lease ranks

Cause: leases, claims and membership each had their own rendezvous hashing, and the lease keeper ranked all members again for each unit on every observation; the store-load measurement at 410 members and 90 units took minutes for that reason.

Change: RendezvousHashing in core/membership serves all three; the lease keeper keeps its ranks until the members change.

Ruled out: keeping three hashes, because members that disagree on an owner cost extra transactions.

Measured: LeaseProperties passes on the shared hash; no timing was taken.

Conclusion: one place to look at for ownership.

--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/membership/RendezvousHashing.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/membership/RendezvousHashing.java
@@ -17,25 +17,46 @@
     /** Returns at most {@code count} members in the order of their claim to the unit. */
     public static List<Member> rank(Collection<Member> members, String unit, int count) {
         return members.stream()
-                .sorted(Comparator.comparingLong((Member member) -> weight(member.incarnation(), unit))
-                        .reversed()
-                        .thenComparing(Member::incarnation))
+                .map(member -> new Weighted<>(member, member.incarnation(), weight(member.incarnation(), unit)))
+                .sorted(Weighted.order())
                 .limit(count)
+                .map(Weighted::value)
                 .toList();
     }
 
-    private static long weight(String incarnation, String unit) {
+    /** Returns at most {@code count} incarnations in the order of their claim to the unit. */
+    public static List<String> rankIncarnations(Collection<String> incarnations, String unit, int count) {
+        return incarnations.stream()
+                .map(incarnation -> new Weighted<>(incarnation, incarnation, weight(incarnation, unit)))
+                .sorted(Weighted.order())
+                .limit(count)
+                .map(Weighted::value)
+                .toList();
+    }
+
+    /** Returns a well-mixed hash of the text that is the same in every process. */
+    public static long hash(String text) {
         long hash = FNV_OFFSET;
-        for (int index = 0; index < incarnation.length(); index++) {
-            hash = (hash ^ incarnation.charAt(index)) * FNV_PRIME;
-        }
-        hash = (hash ^ '\n') * FNV_PRIME;
-        for (int index = 0; index < unit.length(); index++) {
-            hash = (hash ^ unit.charAt(index)) * FNV_PRIME;
+        for (int index = 0; index < text.length(); index++) {
+            hash = (hash ^ text.charAt(index)) * FNV_PRIME;
         }
         // The finalizer of MurmurHash3 spreads the last characters over all bits, which FNV alone does not.
         hash = (hash ^ (hash >>> 33)) * 0xff51afd7ed558ccdL;
         hash = (hash ^ (hash >>> 33)) * 0xc4ceb9fe1a85ec53L;
         return hash ^ (hash >>> 33);
     }
+
+    private static long weight(String incarnation, String unit) {
+        return hash(incarnation + '\n' + unit);
+    }
+
+    private record Weighted<T>(T value, String incarnation, long weight) {
+
+        /** Highest weight first; equal weights by incarnation, so that all members agree. */
+        static <T> Comparator<Weighted<T>> order() {
+            return Comparator.<Weighted<T>>comparingLong(Weighted::weight)
+                    .reversed()
+                    .thenComparing(Weighted::incarnation);
+        }
+    }
 }
--- a/fireflywalk-core/src/test/java/io/fireflywalk/core/lease/LeaseProperties.java
+++ b/fireflywalk-core/src/test/java/io/fireflywalk/core/lease/LeaseProperties.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.fireflywalk.core.membership.RendezvousHashing;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -82,10 +83,10 @@
         for (int index = 0; index < count; index++) {
             members.add("member-" + index);
         }
-        List<String> before = RendezvousHash.first("unit-" + key, members, 3);
+        List<String> before = RendezvousHashing.rankIncarnations(members, "unit-" + key, 3);
         List<String> others = new ArrayList<>(members);
         others.removeAll(before);
         members.remove(others.get(0));
-        assertEquals(before, RendezvousHash.first("unit-" + key, members, 3));
+        assertEquals(before, RendezvousHashing.rankIncarnations(members, "unit-" + key, 3));
     }
 }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/authority/LeaseKeeper.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/authority/LeaseKeeper.java
@@ -8,7 +8,7 @@
 import io.fireflywalk.core.lease.LeaseRecord;
 import io.fireflywalk.core.lease.LeaseUnit;
 import io.fireflywalk.core.lease.ObservedLease;
-import io.fireflywalk.core.lease.RendezvousHash;
+import io.fireflywalk.core.membership.RendezvousHashing;
 import io.fireflywalk.daemon.authority.LeaseStore.FoundLease;
 import io.fireflywalk.daemon.authority.LeaseStore.LeaseWrite;
 import io.fireflywalk.platform.table.TableService;
@@ -20,6 +20,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -54,6 +55,8 @@
     private final List<HeldWork> works = new ArrayList<>();
     private final RequestsInFlight inFlight;
     private final CompositeDisposable takeovers = new CompositeDisposable();
+    private final Map<LeaseUnit, Integer> ranks = new HashMap<>();
+    private List<String> rankedMembers = List.of();
     private boolean stopping;
 
     public LeaseKeeper(
@@ -164,6 +167,7 @@
                 .filter(lease -> !lease.isValid(settings.terms(), now))
                 .forEach(lease -> endWork(lease.unit()));
         Set<LeaseUnit> wanted = Set.copyOf(units.get());
+        ranks.keySet().retainAll(wanted);
         List<HeldLease> leaving = stopping ? List.of() : leaving(wanted, now);
         return release(leaving).andThen(Completable.defer(() -> renew(List.copyOf(leases.values()), true)));
     }
@@ -342,8 +346,17 @@
         works.stream().filter(work -> work.unit().equals(unit)).forEach(HeldWork::end);
     }
 
+    /** Ranks are kept while the members stay, because ranking 410 members for 90 units each round is costly. */
     private Optional<Integer> rank(LeaseUnit unit) {
-        int rank = RendezvousHash.first(unit.key(), members.get(), CANDIDATES).indexOf(incarnation);
+        List<String> present = members.get();
+        if (!present.equals(rankedMembers)) {
+            rankedMembers = List.copyOf(present);
+            ranks.clear();
+        }
+        int rank = ranks.computeIfAbsent(
+                unit,
+                wanted -> RendezvousHashing.rankIncarnations(rankedMembers, wanted.key(), CANDIDATES)
+                        .indexOf(incarnation));
         return rank < 0 ? Optional.empty() : Optional.of(rank);
     }
 
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/claim/ClaimCommitter.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/claim/ClaimCommitter.java
@@ -7,7 +7,7 @@
 import io.fireflywalk.core.claim.ClaimResult;
 import io.fireflywalk.core.claim.ClaimRules;
 import io.fireflywalk.core.claim.ClaimState;
-import io.fireflywalk.core.claim.RendezvousOrder;
+import io.fireflywalk.core.membership.RendezvousHashing;
 import io.fireflywalk.platform.codec.Codec;
 import io.fireflywalk.platform.table.RowCondition;
 import io.fireflywalk.platform.table.TableService;
@@ -73,7 +73,7 @@
 
     /** Returns the shard of a claim's key. */
     public static int shardOf(String key, int shards) {
-        return (int) Long.remainderUnsigned(RendezvousOrder.hash(key), shards);
+        return (int) Long.remainderUnsigned(RendezvousHashing.hash(key), shards);
     }
 
     /** Adds the operation to its shard's next batch and emits its result; it starts without a subscription. */
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/claim/ClaimRouter.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/claim/ClaimRouter.java
@@ -2,8 +2,8 @@
 
 import io.fireflywalk.core.claim.ClaimOperation;
 import io.fireflywalk.core.claim.ClaimResult;
-import io.fireflywalk.core.claim.RendezvousOrder;
 import io.fireflywalk.core.membership.Member;
+import io.fireflywalk.core.membership.RendezvousHashing;
 import io.fireflywalk.daemon.peer.MemberDirectory;
 import io.fireflywalk.platform.time.TimerService;
 import io.reactivex.rxjava3.core.Observable;
@@ -54,7 +54,7 @@
     public Single<ClaimResult> submit(ClaimOperation operation) {
         return Single.defer(() -> {
             String shard = "claim-shard-" + ClaimCommitter.shardOf(operation.key(), shards);
-            List<Member> order = RendezvousOrder.of(shard, members.liveMembers());
+            List<Member> order = RendezvousHashing.rank(members.liveMembers(), shard, 1);
             if (order.isEmpty() || order.get(0).incarnation().equals(self.incarnation())) {
                 return committer.submit(operation);
             }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/claim/ClaimSweeper.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/claim/ClaimSweeper.java
@@ -1,10 +1,10 @@
 package io.fireflywalk.daemon.claim;
 
 import io.fireflywalk.core.claim.ClaimRecord;
-import io.fireflywalk.core.claim.RendezvousOrder;
 import io.fireflywalk.core.claim.StoredAnswer;
 import io.fireflywalk.core.error.FireflywalkException;
 import io.fireflywalk.core.membership.Member;
+import io.fireflywalk.core.membership.RendezvousHashing;
 import io.fireflywalk.daemon.peer.MemberDirectory;
 import io.fireflywalk.platform.codec.Codec;
 import io.fireflywalk.platform.object.ObjectStore;
@@ -76,7 +76,7 @@
     /** Removes the expired claims of the next page. */
     Completable run() {
         return Completable.defer(() -> {
-            List<Member> order = RendezvousOrder.of("claim-sweep", members.liveMembers());
+            List<Member> order = RendezvousHashing.rank(members.liveMembers(), "claim-sweep", 1);
             if (!order.isEmpty() && !order.get(0).incarnation().equals(self.incarnation())) {
                 return Completable.complete();
             }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/usage/UsageCopier.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/usage/UsageCopier.java
@@ -2,8 +2,8 @@
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
-import io.fireflywalk.core.claim.RendezvousOrder;
 import io.fireflywalk.core.membership.Member;
+import io.fireflywalk.core.membership.RendezvousHashing;
 import io.fireflywalk.core.usage.UsageBatch;
 import io.fireflywalk.core.usage.UsageLedger;
 import io.fireflywalk.daemon.peer.MemberDirectory;
@@ -150,11 +150,10 @@
         List<Member> live = members.liveMembers();
         if (!live.equals(knownMembers)) {
             knownMembers = List.copyOf(live);
-            order = RendezvousOrder.of(
-                    self.incarnation(),
-                    live.stream()
-                            .filter(member -> !member.availabilityZone().equals(self.availabilityZone()))
-                            .toList());
+            List<Member> elsewhere = live.stream()
+                    .filter(member -> !member.availabilityZone().equals(self.availabilityZone()))
+                    .toList();
+            order = RendezvousHashing.rank(elsewhere, self.incarnation(), elsewhere.size());
         }
         List<Member> chosen = new ArrayList<>();
         // A second pass takes peers of other regions, and a third those of a zone that is already chosen.
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/usage/UsageRecorder.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/usage/UsageRecorder.java
@@ -4,9 +4,9 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
-import io.fireflywalk.core.claim.RendezvousOrder;
 import io.fireflywalk.core.configuration.TargetCharge;
 import io.fireflywalk.core.membership.Member;
+import io.fireflywalk.core.membership.RendezvousHashing;
 import io.fireflywalk.core.usage.CopiedRow;
 import io.fireflywalk.core.usage.UsageAmount;
 import io.fireflywalk.core.usage.UsageBatch;
@@ -167,7 +167,7 @@
 
     /** Returns -0.25 to 0.25, another one for each flush, so that instances that start together do not stay in step. */
     private double jitter() {
-        long hash = RendezvousOrder.hash(self.incarnation() + flushes);
+        long hash = RendezvousHashing.hash(self.incarnation() + flushes);
         return Math.floorMod(hash, JITTER_STEPS) / (2.0 * JITTER_STEPS) - 0.25;
     }
 
