Show members, leases and targets in the status report

Cause: `fireflywalk status` showed the instance only; the person on call asks which instances are alive, who holds which lease, and which target is slow or behind an open breaker.

Change: three more tables, built by StatusTables from what the instance knows.

Measured: WholePathTest reads the status of one of two daemons and finds the other member and the targets.

Conclusion: open orders are not shown yet, because the daemon does not start the order parts.

--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/Daemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/Daemon.java
@@ -26,6 +26,7 @@
 import io.fireflywalk.daemon.operators.ConfigurationChanger;
 import io.fireflywalk.daemon.operators.OperatorServer;
 import io.fireflywalk.daemon.operators.ProcessMetrics;
+import io.fireflywalk.daemon.operators.StatusTables;
 import io.fireflywalk.daemon.peer.PeerClient;
 import io.fireflywalk.daemon.peer.PeerServer;
 import io.fireflywalk.daemon.routing.LoadWatcher;
@@ -135,7 +136,8 @@
                 admission,
                 router,
                 coordination.digests());
-        this.gateway = new GatewayServer(vertx, gatewayContext(vertx, metrics), coordination::mayServeKeyedRoutes);
+        GatewayContext context = gatewayContext(vertx, metrics);
+        this.gateway = new GatewayServer(vertx, context, coordination::mayServeKeyedRoutes);
         this.operators = new OperatorServer(
                 vertx,
                 timers,
@@ -147,6 +149,11 @@
                 tables,
                 metrics);
         operators.addStatus(() -> Single.fromCallable(this::instanceStatus));
+        operators.addStatus(() -> Single.fromCallable(
+                () -> StatusTables.members(coordination.heartbeats().liveMembers())));
+        operators.addStatus(() -> Single.fromCallable(() -> StatusTables.leases(leaseUnits(), leases)));
+        operators.addStatus(() -> Single.fromCallable(() -> StatusTables.targets(
+                coordination.snapshot(), context.pool()::requestsInFlight, context.retries()::allows)));
         ProcessMetrics.register(metrics);
         metrics.register("requests_in_flight", (Gauge<Integer>) gateway::requestsInFlight);
         registerCoordination(metrics);
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/TargetPool.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/TargetPool.java
@@ -63,4 +63,9 @@
     public void attemptEnded(Target target) {
         inFlight.computeIfPresent(target.name(), (name, count) -> count > 1 ? count - 1 : null);
     }
+
+    /** Returns the number of open attempts of this instance at the target. */
+    public int requestsInFlight(Target target) {
+        return inFlight.getOrDefault(target.name(), 0);
+    }
 }
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/endtoend/WholePathTest.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/endtoend/WholePathTest.java
@@ -103,6 +103,9 @@
                 assertTrue(plain.body().contains("\"body\":\"entry\""), plain.body());
                 assertTrue(!plain.body().contains("authorization"), plain.body());
             }
+            String status = operator("status", "--server", server);
+            assertTrue(status.contains("second"), () -> "no second member in: " + status);
+            assertTrue(status.contains("billing-1"), () -> "no target in: " + status);
             first.terminate();
             second.terminate();
             assertEquals(0, first.awaitExit());
