--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/authority/RecordTable.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/authority/RecordTable.java
@@ -64,7 +64,7 @@
 
     /**
      * Ends the doubt about earlier writes: an empty transaction under the same identifier is answered only when the
-     * write has taken effect or no longer can. A read after this shows the truth.
+     * write has taken effect or no longer can. A read after this shows the final state.
      */
     Completable resolve() {
         return Flowable.fromIterable(List.copyOf(unresolved))
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/claim/ClaimProperties.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/claim/ClaimProperties.java
@@ -29,12 +29,13 @@
     private static final long SETTLE_SECONDS = 60;
 
     @Property(tries = 600)
-    void claimedRequestRunsAtMostOnceAndItsRetryIsToldTheTruth(@ForAll("calls") List<Step> steps, @ForAll long seed) {
+    void claimedRequestRunsAtMostOnceAndItsRetryGetsTheRightOutcome(
+            @ForAll("calls") List<Step> steps, @ForAll long seed) {
         ClaimFleet fleet = new ClaimFleet(seed, INSTANCES);
         for (Step step : steps) {
             apply(fleet, step);
         }
-        heal(fleet);
+        endFaults(fleet);
 
         for (String key : KEYS) {
             int runs = fleet.runs.getOrDefault(key + "a", 0) + fleet.runs.getOrDefault(key + "b", 0);
@@ -52,7 +53,7 @@
                 apply(fleet, step);
             }
         }
-        heal(fleet);
+        endFaults(fleet);
         Set<String> ran = new HashSet<>(fleet.runs.keySet());
         for (String key : KEYS) {
             if (!ran.contains(key + "a") && !ran.contains(key + "b")) {
@@ -127,7 +128,7 @@
         }
     }
 
-    private static void heal(ClaimFleet fleet) {
+    private static void endFaults(ClaimFleet fleet) {
         fleet.tables.loseAnswers(0);
         fleet.tables.setOut(false);
         fleet.lostMessages = 0;
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/configuration/CoordinationTest.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/configuration/CoordinationTest.java
@@ -130,7 +130,7 @@
     }
 
     @Example
-    void wholeFleetRestartsWithoutGoodbye() {
+    void wholeFleetRestartsAfterKills() {
         VirtualFleet fleet = new VirtualFleet(7, 3);
         fleet.createKey(KEY);
         List.copyOf(fleet.nodes).forEach(fleet::kill);
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/configuration/VirtualFleet.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/configuration/VirtualFleet.java
@@ -56,7 +56,7 @@
         return node;
     }
 
-    /** Ends a run without a goodbye; the platform's list shows it later. */
+    /** Kills a run; the platform's list shows it later. */
     void kill(Node node) {
         node.coordination.stop();
         network.remove(node.member.incarnation());
