Record latency and token rate of the request path

Cause: the first full measurement had one daemon without peers, so every answer waited for the table service (median 83 ms), and all streams went to four engines, of which admission refused most.

Ruled out: a fault of the added latency alone; with two peers in other zones the median falls to 8 to 22 ms.

Change: the measurement runs three daemons and 24 engines, starts streams evenly, and counts refused streams as failures.

--- a/fireflywalk-benchmark/src/main/java/io/fireflywalk/benchmark/requestpath/MeasuredSystem.java
+++ b/fireflywalk-benchmark/src/main/java/io/fireflywalk/benchmark/requestpath/MeasuredSystem.java
@@ -16,9 +16,14 @@
 import io.fireflywalk.platform.configuration.ConfigurationRepository;
 import io.fireflywalk.platform.configuration.DocumentCodec;
 import io.fireflywalk.platform.table.HttpTableService;
+import io.fireflywalk.platform.time.TimerService;
 import io.fireflywalk.standin.StandinMain;
 import io.vertx.core.Vertx;
 import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -26,7 +31,11 @@
 import java.util.List;
 import java.util.Set;
 
-/** A table service, engines, a plain service and one daemon, each in its own process. Not thread-safe. */
+/**
+ * A table service, engines, a plain service and three daemons in different availability zones, each in its own process.
+ * The first daemon takes the load; the others hold copies of its usage, without which each answer would wait for the
+ * table service. Not thread-safe.
+ */
 final class MeasuredSystem implements AutoCloseable {
     static final String HOST = "127.0.0.1";
     static final String KEY = "load.secret";
@@ -36,6 +45,9 @@
     private static final int CONCURRENT_REQUESTS = 100_000;
     private static final long DEADLINE_MILLISECONDS = 600_000;
 
+    private static final int DAEMONS = 3;
+    private static final Duration JOIN_CHECK_PERIOD = Duration.ofMillis(200);
+
     private final List<SystemProcess> processes = new ArrayList<>();
     private final List<Integer> enginePorts = new ArrayList<>();
     private final int plainPort;
@@ -43,7 +55,8 @@
     private final int callerPort;
     private final int operatorPort;
 
-    MeasuredSystem(Vertx vertx, int engines, long tokenMilliseconds) throws IOException {
+    MeasuredSystem(Vertx vertx, TimerService timers, int engines, long tokenMilliseconds)
+            throws IOException, InterruptedException {
         Path directory = Files.createTempDirectory("fireflywalk-benchmark");
         int tablePort = standin(directory, "table-service");
         plainPort = standin(directory, "plain-service");
@@ -52,22 +65,45 @@
                     standin(directory, "model-engine", "--token-milliseconds", Long.toString(tokenMilliseconds)));
         }
         configure(vertx, tablePort);
-        Path settings = Files.writeString(directory.resolve("daemon.yaml"), """
-                instance: {name: measured}
+        List<SystemProcess> daemons = new ArrayList<>();
+        for (int index = 0; index < DAEMONS; index++) {
+            daemons.add(startDaemon(directory, index, tablePort));
+        }
+        daemon = daemons.get(0);
+        String ports = daemon.awaitLine();
+        callerPort = SystemProcess.numberIn(ports, "caller=(\\d+)");
+        operatorPort = SystemProcess.numberIn(ports, "operator=(\\d+)");
+        awaitMembers(timers);
+    }
+
+    private SystemProcess startDaemon(Path directory, int index, int tablePort) throws IOException {
+        Path settings = Files.writeString(
+                directory.resolve("daemon-" + index + ".yaml"), """
+                instance: {name: measured-%d, availabilityZone: zone-%d}
                 listen: {callerPort: 0, operatorPort: 0, peerPort: 0}
                 tableService: {port: %d}
-                """.formatted(tablePort));
-        daemon = SystemProcess.start(
-                directory.resolve("daemon.log"),
+                """.formatted(index, index, tablePort));
+        SystemProcess process = SystemProcess.start(
+                directory.resolve("daemon-" + index + ".log"),
                 DAEMON_HEAP,
                 DaemonMain.class,
                 "run",
                 "--settings",
                 settings.toString());
-        processes.add(daemon);
-        String ports = daemon.awaitLine();
-        callerPort = SystemProcess.numberIn(ports, "caller=(\\d+)");
-        operatorPort = SystemProcess.numberIn(ports, "operator=(\\d+)");
+        processes.add(process);
+        return process;
+    }
+
+    private void awaitMembers(TimerService timers) throws IOException, InterruptedException {
+        HttpClient client = HttpClient.newHttpClient();
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + HOST + ":" + operatorPort + "/metrics"))
+                .build();
+        String wanted = "fireflywalk_members_live " + DAEMONS;
+        while (!client.send(request, HttpResponse.BodyHandlers.ofString())
+                .body()
+                .contains(wanted)) {
+            timers.after(JOIN_CHECK_PERIOD).blockingAwait();
+        }
     }
 
     int callerPort() {
--- a/fireflywalk-benchmark/src/main/java/io/fireflywalk/benchmark/requestpath/RequestPathMain.java
+++ b/fireflywalk-benchmark/src/main/java/io/fireflywalk/benchmark/requestpath/RequestPathMain.java
@@ -14,8 +14,10 @@
 
 /** Command line of the request path's measurements. */
 public final class RequestPathMain {
-    private static final int ENGINES = 4;
-    private static final Duration SETTLE = Duration.ofSeconds(15);
+    /** Keeps the streams per engine below what routing expects of a runner. */
+    private static final int ENGINES = 24;
+
+    private static final Duration SETTLE = Duration.ofSeconds(20);
 
     private RequestPathMain() {}
 
@@ -53,7 +55,7 @@
         Vertx vertx = Vertx.vertx();
         Context context = vertx.getOrCreateContext();
         VertxTimerService timers = new VertxTimerService(vertx, context);
-        try (MeasuredSystem system = new MeasuredSystem(vertx, ENGINES, options.tokenMilliseconds)) {
+        try (MeasuredSystem system = new MeasuredSystem(vertx, timers, ENGINES, options.tokenMilliseconds)) {
             LatencyMeasurement latency = new LatencyMeasurement(vertx, timers, system);
             List<LatencyMeasurement.Pass> passes = await(
                     context,
--- a/fireflywalk-benchmark/src/main/java/io/fireflywalk/benchmark/requestpath/StreamMeasurement.java
+++ b/fireflywalk-benchmark/src/main/java/io/fireflywalk/benchmark/requestpath/StreamMeasurement.java
@@ -17,6 +17,7 @@
 /** Holds many streams open through the daemon and measures its processor time per token event and its heap. */
 final class StreamMeasurement {
     private static final int BYTES_PER_EVENT_MARK = 4;
+    private static final int STATUS_OK = 200;
     private static final Pattern HEAP = Pattern.compile("fireflywalk_jvm_heap_used_bytes (\\d+)");
 
     private final TimerService timers;
@@ -49,7 +50,9 @@
     Future<Figures> run(int streams, int tokensPerStream, Duration settle, Duration window) {
         List<Future<?>> open = new ArrayList<>();
         for (int index = 0; index < streams; index++) {
-            open.add(stream(tokensPerStream));
+            // Started evenly over half of the time to settle, because admission bounds its queues.
+            Duration delay = settle.dividedBy(2).multipliedBy(index).dividedBy(streams);
+            open.add(after(delay).compose(ignored -> stream(tokensPerStream)));
         }
         Snapshot[] start = new Snapshot[1];
         return after(settle)
@@ -113,6 +116,9 @@
         return client.request(options)
                 .compose(request -> request.send(Buffer.buffer(body)))
                 .compose(response -> {
+                    if (response.statusCode() != STATUS_OK) {
+                        return Future.failedFuture("status " + response.statusCode());
+                    }
                     response.handler(this::count);
                     return response.end();
                 })
