--- a/fireflywalk-benchmark/src/main/java/io/fireflywalk/benchmark/placement/PlacementBenchmark.java
+++ b/fireflywalk-benchmark/src/main/java/io/fireflywalk/benchmark/placement/PlacementBenchmark.java
@@ -8,7 +8,7 @@
 import io.fireflywalk.core.placement.PlacementSettings;
 import io.fireflywalk.core.placement.TargetPlan;
 import io.fireflywalk.core.routing.RunnerRole;
-import io.fireflywalk.platform.codec.Codec;
+import io.fireflywalk.services.codec.Codec;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
--- a/fireflywalk-benchmark/src/main/java/io/fireflywalk/benchmark/record/RunRecord.java
+++ b/fireflywalk-benchmark/src/main/java/io/fireflywalk/benchmark/record/RunRecord.java
@@ -1,7 +1,7 @@
 package io.fireflywalk.benchmark.record;
 
 import com.fasterxml.jackson.databind.SerializationFeature;
-import io.fireflywalk.platform.codec.Codec;
+import io.fireflywalk.services.codec.Codec;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
--- a/fireflywalk-benchmark/src/main/java/io/fireflywalk/benchmark/requestpath/LatencyMeasurement.java
+++ b/fireflywalk-benchmark/src/main/java/io/fireflywalk/benchmark/requestpath/LatencyMeasurement.java
@@ -1,6 +1,6 @@
 package io.fireflywalk.benchmark.requestpath;
 
-import io.fireflywalk.platform.time.TimerService;
+import io.fireflywalk.services.time.TimerService;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
--- a/fireflywalk-benchmark/src/main/java/io/fireflywalk/benchmark/requestpath/RequestPathMain.java
+++ b/fireflywalk-benchmark/src/main/java/io/fireflywalk/benchmark/requestpath/RequestPathMain.java
@@ -3,7 +3,7 @@
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
 import io.fireflywalk.benchmark.record.RunRecord;
-import io.fireflywalk.platform.time.VertxTimerService;
+import io.fireflywalk.services.time.VertxTimerService;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
--- /dev/null
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/RequestDescription.java
@@ -0,0 +1,31 @@
+package io.fireflywalk.core.ingress;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * What a caller says of its request.
+ *
+ * @param attemptIdentifier identifier of the caller's attempt
+ * @param deadline time that the caller waits; empty if not stated
+ * @param promptParts parts of the prompt in order; the last belongs to the request or its session
+ * @param promptTokens tokens of the prompt; 0 for plain services
+ * @param maximumGeneratedTokens bound of the answer's tokens
+ */
+public record RequestDescription(
+        String attemptIdentifier,
+        Optional<Duration> deadline,
+        List<PromptPart> promptParts,
+        int promptTokens,
+        int maximumGeneratedTokens) {
+
+    public RequestDescription {
+        promptParts = List.copyOf(promptParts);
+    }
+
+    /** Returns the longest shared part: the last before the request's own part. */
+    public Optional<PromptPart> sharedPart() {
+        return promptParts.size() < 2 ? Optional.empty() : Optional.of(promptParts.get(promptParts.size() - 2));
+    }
+}
--- /dev/null
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/RoutingConfiguration.java
@@ -0,0 +1,82 @@
+package io.fireflywalk.core.ingress;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+/** One version of routes, services and keys. Immutable, so safe to share between threads. */
+public final class RoutingConfiguration {
+    private final long version;
+    private final Map<String, List<HostRoute>> routesByHost;
+    private final Map<String, ServiceProfile> services;
+    private final Map<String, String> accountByKey;
+    private final boolean keyed;
+    private final CallerLimits limits;
+
+    /**
+     * Creates a version.
+     *
+     * @param accountByKey client account by key
+     * @param keyed true if requests need a key unless their route is open
+     */
+    public RoutingConfiguration(
+            long version,
+            List<HostRoute> routes,
+            List<ServiceProfile> services,
+            Map<String, String> accountByKey,
+            boolean keyed,
+            CallerLimits limits) {
+        this.version = version;
+        Comparator<HostRoute> longestFirst = Comparator.comparingInt(
+                        (HostRoute route) -> route.pathPrefix().length())
+                .reversed();
+        this.routesByHost = routes.stream()
+                .sorted(longestFirst)
+                .collect(Collectors.groupingBy(HostRoute::host, Collectors.toUnmodifiableList()));
+        this.services =
+                services.stream().collect(Collectors.toUnmodifiableMap(ServiceProfile::name, Function.identity()));
+        this.accountByKey = Map.copyOf(accountByKey);
+        this.keyed = keyed;
+        this.limits = limits;
+    }
+
+    /** Returns the version, which only grows. */
+    public long version() {
+        return version;
+    }
+
+    /** Returns the route of the host with the longest prefix of the path. */
+    public Optional<HostRoute> route(String host, String path) {
+        return routesByHost.getOrDefault(host, List.of()).stream()
+                .filter(route -> path.startsWith(route.pathPrefix()))
+                .findFirst();
+    }
+
+    /** Returns the service of the name. */
+    public Optional<ServiceProfile> service(String name) {
+        return Optional.ofNullable(services.get(name));
+    }
+
+    /** Returns the client account that holds the key. */
+    public Optional<String> account(String key) {
+        return Optional.ofNullable(accountByKey.get(key));
+    }
+
+    /** Tells whether requests need a key unless their route is open. */
+    public boolean keyed() {
+        return keyed;
+    }
+
+    /** Returns the bounds of what callers may send. */
+    public CallerLimits limits() {
+        return limits;
+    }
+
+    /** Returns the number of routes. */
+    public int routeCount() {
+        return routesByHost.values().stream().mapToInt(List::size).sum();
+    }
+}
--- /dev/null
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetState.java
@@ -0,0 +1,159 @@
+package io.fireflywalk.core.ingress;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * What this instance knows of one target: its own requests there, the load that the target reported last, its recent
+ * failures, and the prompt parts that it read. Confined to one thread.
+ */
+public final class TargetState {
+    /** Age at which a reported load no longer counts; reports come with each answer. */
+    private static final long REPORT_LIFETIME_NANOSECONDS = 1_000_000_000L;
+
+    private static final long FIRST_PAUSE_NANOSECONDS = 300_000_000L;
+    private static final long LONGEST_PAUSE_NANOSECONDS = 4_000_000_000L;
+    /** Weight of the newest outcome in the moving average of failures. */
+    private static final double FAILURE_WEIGHT = 0.15;
+
+    private static final int MAXIMUM_PARTS = 512;
+
+    private TargetEntry entry;
+    private int inFlight;
+    private int sentSinceReport;
+    private int reportedRequests;
+    private long reportedAt = Long.MIN_VALUE / 2;
+    private long lastAnswerAt = Long.MIN_VALUE / 2;
+    private int consecutiveFailures;
+    private double failureRate;
+    private long pausedUntil = Long.MIN_VALUE / 2;
+    private boolean trialUnderWay;
+    private long queuedTokens;
+    /** Time of the last read by prompt part, oldest first. */
+    private final Map<String, Long> parts = new LinkedHashMap<>(16, 0.75f, true) {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+            return size() > MAXIMUM_PARTS;
+        }
+    };
+
+    public TargetState(TargetEntry entry) {
+        this.entry = entry;
+    }
+
+    /** Returns the latest entry of the target. */
+    public TargetEntry entry() {
+        return entry;
+    }
+
+    /** Replaces the entry; a new run of the target knows nothing of before. */
+    public void update(TargetEntry newEntry) {
+        if (newEntry.startedAtMilliseconds() != entry.startedAtMilliseconds()) {
+            parts.clear();
+            consecutiveFailures = 0;
+            failureRate = 0;
+            pausedUntil = Long.MIN_VALUE / 2;
+            trialUnderWay = false;
+        }
+        entry = newEntry;
+    }
+
+    // Events
+
+    /** Notes a request sent to the target with the tokens that it has to read. */
+    public void sent(int tokensToRead) {
+        inFlight++;
+        sentSinceReport++;
+        queuedTokens += tokensToRead;
+        if (consecutiveFailures > 0) {
+            trialUnderWay = true;
+        }
+    }
+
+    /** Notes that the target has read the tokens of a request or gave it up. */
+    public void tokensRead(int tokens) {
+        queuedTokens = Math.max(0, queuedTokens - tokens);
+    }
+
+    /** Notes the end of a request. */
+    public void ended() {
+        inFlight--;
+    }
+
+    /** Notes that the target answered. */
+    public void answered(long now) {
+        lastAnswerAt = now;
+    }
+
+    /** Notes a good answer. */
+    public void succeeded() {
+        consecutiveFailures = 0;
+        trialUnderWay = false;
+        failureRate *= 1 - FAILURE_WEIGHT;
+    }
+
+    /** Notes a failure that says something of the target, and pauses it for longer with each one in a row. */
+    public void failed(long now) {
+        failureRate += FAILURE_WEIGHT * (1 - failureRate);
+        if (now < pausedUntil) {
+            return;
+        }
+        consecutiveFailures++;
+        trialUnderWay = false;
+        int doublings = Math.min(8, consecutiveFailures - 1);
+        pausedUntil = now + Math.min(LONGEST_PAUSE_NANOSECONDS, FIRST_PAUSE_NANOSECONDS << doublings);
+    }
+
+    /** Notes the requests that the target says it runs and holds in its queue. */
+    public void reported(int requests, long now) {
+        reportedRequests = requests;
+        reportedAt = now;
+        sentSinceReport = 0;
+    }
+
+    /** Notes that the target has read the prompt part. */
+    public void partRead(String part, long now) {
+        parts.put(part, now);
+    }
+
+    // Views
+
+    /** Tells whether the target may be offered a request: leaving ones never, failing ones one trial at a time. */
+    public boolean available(long now) {
+        return !entry.leaving() && now >= pausedUntil && !(consecutiveFailures > 0 && trialUnderWay && inFlight > 0);
+    }
+
+    /** Returns an estimate of the requests that the target has. */
+    public double requests(long now) {
+        if (now - reportedAt > REPORT_LIFETIME_NANOSECONDS) {
+            return inFlight;
+        }
+        return Math.max(inFlight, reportedRequests + (double) sentSinceReport);
+    }
+
+    /** Returns the moving average of failures, from 0 to 1. */
+    public double failureRate() {
+        return failureRate;
+    }
+
+    /** Returns the own requests at the target. */
+    public int inFlight() {
+        return inFlight;
+    }
+
+    /** Returns the tokens that own requests still have to read there. */
+    public long queuedTokens() {
+        return queuedTokens;
+    }
+
+    /** Returns the time of the target's last answer. */
+    public long lastAnswerAt() {
+        return lastAnswerAt;
+    }
+
+    /** Tells whether this instance had the target read the part within the time. */
+    public boolean hasPart(String part, long since) {
+        Long readAt = parts.get(part);
+        return readAt != null && readAt >= since;
+    }
+}
--- a/fireflywalk-core/src/test/java/io/fireflywalk/core/DependencyDirectionTest.java
+++ b/fireflywalk-core/src/test/java/io/fireflywalk/core/DependencyDirectionTest.java
@@ -29,7 +29,7 @@
                 "com.fasterxml..",
                 "org.jboss..",
                 "com.codahale..",
-                "io.fireflywalk.platform..",
+                "io.fireflywalk.services..",
                 "io.fireflywalk.daemon.."
             })
     void coreDoesNotDependOn(String packagePattern) {
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/DaemonMain.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/DaemonMain.java
@@ -4,10 +4,11 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import io.fireflywalk.core.error.FireflywalkException;
+import io.fireflywalk.daemon.ingress.IngressSettings;
 import io.fireflywalk.daemon.settings.DaemonSettings;
 import io.fireflywalk.daemon.settings.SettingsLoader;
-import io.fireflywalk.platform.table.HttpTableService;
-import io.fireflywalk.platform.time.VertxTimerService;
+import io.fireflywalk.services.table.HttpTableService;
+import io.fireflywalk.services.time.VertxTimerService;
 import io.reactivex.rxjava3.plugins.RxJavaPlugins;
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
@@ -29,6 +30,12 @@
         Path settings;
     }
 
+    /** Options of the serve command. */
+    static final class ServeOptions {
+        @Parameter(names = "--settings", description = "YAML settings file", required = true)
+        Path settings;
+    }
+
     /** Options of the demo command. */
     static final class DemoOptions {
         @Parameter(names = "--port", description = "TCP port for callers")
@@ -38,10 +45,12 @@
     /** Runs the command that the arguments name. */
     public static void main(String[] arguments) {
         RunOptions run = new RunOptions();
+        ServeOptions serve = new ServeOptions();
         DemoOptions demo = new DemoOptions();
         JCommander commander = JCommander.newBuilder()
                 .programName("fireflywalkd")
                 .addCommand("run", run)
+                .addCommand("serve", serve)
                 .addCommand("demo", demo)
                 .build();
         try {
@@ -51,6 +60,8 @@
                 System.exit(EXIT_USAGE);
             } else if (commander.getParsedCommand().equals("run")) {
                 run(SettingsLoader.load(run.settings));
+            } else if (commander.getParsedCommand().equals("serve")) {
+                ServeCommand.run(IngressSettings.load(serve.settings));
             } else {
                 Demo.run(demo.port);
             }
@@ -83,7 +94,7 @@
                         System.err.println("fireflywalkd: " + cause.getMessage());
                         Runtime.getRuntime().halt(EXIT_FAILURE);
                     });
-            ShutdownHook.install(context, daemon);
+            ShutdownHook.install(context, daemon::shutDown);
         });
     }
 }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/Demo.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/Demo.java
@@ -14,12 +14,12 @@
 import io.fireflywalk.core.security.SecretDigest;
 import io.fireflywalk.daemon.settings.DaemonSettings;
 import io.fireflywalk.daemon.settings.SettingsLoader;
-import io.fireflywalk.platform.configuration.ChangeRecord;
-import io.fireflywalk.platform.configuration.ConfigurationRepository;
-import io.fireflywalk.platform.configuration.DocumentCodec;
-import io.fireflywalk.platform.table.InMemoryTableService;
-import io.fireflywalk.platform.table.TableService;
-import io.fireflywalk.platform.time.VertxTimerService;
+import io.fireflywalk.services.configuration.ChangeRecord;
+import io.fireflywalk.services.configuration.ConfigurationRepository;
+import io.fireflywalk.services.configuration.DocumentCodec;
+import io.fireflywalk.services.table.InMemoryTableService;
+import io.fireflywalk.services.table.TableService;
+import io.fireflywalk.services.time.VertxTimerService;
 import io.fireflywalk.standin.ModelEngineServer;
 import io.fireflywalk.standin.PlainServiceServer;
 import io.vertx.core.Context;
@@ -59,7 +59,7 @@
                             tables,
                             new VertxTimerService(vertx, context),
                             ShutdownHook::exitInBackground);
-                    ShutdownHook.install(context, daemon);
+                    ShutdownHook.install(context, daemon::shutDown);
                     return daemon.start();
                 })
                 .onSuccess(ports -> printExamples(ports.callerPort()))
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ShutdownHook.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ShutdownHook.java
@@ -1,15 +1,17 @@
 package io.fireflywalk.daemon;
 
+import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.disposables.Disposable;
 import io.vertx.core.Context;
 import java.util.concurrent.CountDownLatch;
+import java.util.function.Supplier;
 
 /** Drains the daemon when the process gets SIGTERM or SIGINT. */
 final class ShutdownHook {
     private ShutdownHook() {}
 
-    static void install(Context context, Daemon daemon) {
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(context, daemon), "shutdown"));
+    static void install(Context context, Supplier<Completable> shutDown) {
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(context, shutDown), "shutdown"));
     }
 
     /** Ends the process from another thread, because the exit waits for hooks that need the event loop. */
@@ -17,10 +19,10 @@
         new Thread(() -> System.exit(0), "drain-request").start();
     }
 
-    private static void drain(Context context, Daemon daemon) {
+    private static void drain(Context context, Supplier<Completable> shutDown) {
         CountDownLatch stopped = new CountDownLatch(1);
         context.runOnContext(ignored -> {
-            Disposable unused = daemon.shutDown().subscribe(stopped::countDown, cause -> stopped.countDown());
+            Disposable unused = shutDown.get().subscribe(stopped::countDown, cause -> stopped.countDown());
         });
         try {
             stopped.await();
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/admission/AdmissionGate.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/admission/AdmissionGate.java
@@ -14,7 +14,7 @@
 import io.fireflywalk.core.configuration.ConfigurationSnapshot;
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
-import io.fireflywalk.platform.time.TimerService;
+import io.fireflywalk.services.time.TimerService;
 import io.reactivex.rxjava3.disposables.Disposable;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/authority/EndedInstances.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/authority/EndedInstances.java
@@ -1,7 +1,7 @@
 package io.fireflywalk.daemon.authority;
 
-import io.fireflywalk.platform.order.PlatformInstance;
-import io.fireflywalk.platform.time.TimerService;
+import io.fireflywalk.services.order.PlatformInstance;
+import io.fireflywalk.services.time.TimerService;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/authority/JitteredLoop.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/authority/JitteredLoop.java
@@ -1,7 +1,7 @@
 package io.fireflywalk.daemon.authority;
 
 import com.codahale.metrics.MetricRegistry;
-import io.fireflywalk.platform.time.TimerService;
+import io.fireflywalk.services.time.TimerService;
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.disposables.Disposable;
 import io.reactivex.rxjava3.disposables.SerialDisposable;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/authority/OwnSends.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/authority/OwnSends.java
@@ -2,7 +2,7 @@
 
 import io.fireflywalk.core.order.EngineOrder;
 import io.fireflywalk.core.order.EngineOrderAnswer;
-import io.fireflywalk.platform.time.TimerService;
+import io.fireflywalk.services.time.TimerService;
 import java.time.Duration;
 import java.util.Optional;
 
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/authority/RecordTable.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/authority/RecordTable.java
@@ -2,9 +2,9 @@
 
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
-import io.fireflywalk.platform.codec.Codec;
-import io.fireflywalk.platform.table.TableService;
-import io.fireflywalk.platform.table.Transaction;
+import io.fireflywalk.services.codec.Codec;
+import io.fireflywalk.services.table.TableService;
+import io.fireflywalk.services.table.Transaction;
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Single;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/authority/RequestsInFlight.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/authority/RequestsInFlight.java
@@ -1,7 +1,7 @@
 package io.fireflywalk.daemon.authority;
 
 import io.fireflywalk.core.lease.LeaseUnit;
-import io.fireflywalk.platform.time.TimerService;
+import io.fireflywalk.services.time.TimerService;
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Single;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/claim/ClaimParts.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/claim/ClaimParts.java
@@ -6,10 +6,10 @@
 import io.fireflywalk.daemon.peer.PeerClient;
 import io.fireflywalk.daemon.peer.PeerServer;
 import io.fireflywalk.daemon.settings.DaemonSettings;
-import io.fireflywalk.platform.object.HttpObjectStore;
-import io.fireflywalk.platform.object.ObjectStore;
-import io.fireflywalk.platform.table.TableService;
-import io.fireflywalk.platform.time.TimerService;
+import io.fireflywalk.services.object.HttpObjectStore;
+import io.fireflywalk.services.object.ObjectStore;
+import io.fireflywalk.services.table.TableService;
+import io.fireflywalk.services.time.TimerService;
 import io.vertx.core.Vertx;
 import java.time.Duration;
 
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/claim/ClaimRouter.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/claim/ClaimRouter.java
@@ -5,7 +5,7 @@
 import io.fireflywalk.core.membership.Member;
 import io.fireflywalk.core.membership.RendezvousHashing;
 import io.fireflywalk.daemon.peer.MemberDirectory;
-import io.fireflywalk.platform.time.TimerService;
+import io.fireflywalk.services.time.TimerService;
 import io.reactivex.rxjava3.core.Observable;
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.disposables.CompositeDisposable;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/configuration/ConfigurationExchange.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/configuration/ConfigurationExchange.java
@@ -4,7 +4,7 @@
 import io.fireflywalk.core.membership.Member;
 import io.fireflywalk.daemon.peer.PeerCalls;
 import io.fireflywalk.daemon.peer.PeerTransport;
-import io.fireflywalk.platform.time.TimerService;
+import io.fireflywalk.services.time.TimerService;
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Single;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/configuration/ConfigurationMessages.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/configuration/ConfigurationMessages.java
@@ -1,6 +1,6 @@
 package io.fireflywalk.daemon.configuration;
 
-import io.fireflywalk.platform.configuration.ChangeRecord;
+import io.fireflywalk.services.configuration.ChangeRecord;
 import java.util.List;
 
 /** Messages between daemons about the configuration. */
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/configuration/ConfigurationWatcher.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/configuration/ConfigurationWatcher.java
@@ -2,10 +2,10 @@
 
 import io.fireflywalk.core.configuration.ConfigurationSnapshot;
 import io.fireflywalk.core.error.FireflywalkException;
-import io.fireflywalk.platform.configuration.ChangeRecord;
-import io.fireflywalk.platform.configuration.ConfigurationRepository;
-import io.fireflywalk.platform.configuration.DocumentCodec;
-import io.fireflywalk.platform.time.TimerService;
+import io.fireflywalk.services.configuration.ChangeRecord;
+import io.fireflywalk.services.configuration.ConfigurationRepository;
+import io.fireflywalk.services.configuration.DocumentCodec;
+import io.fireflywalk.services.time.TimerService;
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.disposables.Disposable;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/configuration/EndedRuns.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/configuration/EndedRuns.java
@@ -1,12 +1,12 @@
 package io.fireflywalk.daemon.configuration;
 
 import io.fireflywalk.core.membership.Member;
-import io.fireflywalk.platform.codec.Codec;
-import io.fireflywalk.platform.instance.InstanceList;
-import io.fireflywalk.platform.instance.InstanceStatus;
-import io.fireflywalk.platform.table.TableService;
-import io.fireflywalk.platform.table.Transaction;
-import io.fireflywalk.platform.time.TimerService;
+import io.fireflywalk.services.codec.Codec;
+import io.fireflywalk.services.instance.InstanceList;
+import io.fireflywalk.services.instance.InstanceStatus;
+import io.fireflywalk.services.table.TableService;
+import io.fireflywalk.services.table.Transaction;
+import io.fireflywalk.services.time.TimerService;
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Flowable;
 import java.util.HashSet;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/configuration/FreshnessGuard.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/configuration/FreshnessGuard.java
@@ -1,7 +1,7 @@
 package io.fireflywalk.daemon.configuration;
 
 import io.fireflywalk.core.configuration.Freshness;
-import io.fireflywalk.platform.time.TimerService;
+import io.fireflywalk.services.time.TimerService;
 import java.time.Duration;
 
 /** Tells the gateway whether keyed routes may be served now. Confined to one event loop. */
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/CallerConnections.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/CallerConnections.java
@@ -1,7 +1,7 @@
 package io.fireflywalk.daemon.gateway;
 
 import io.fireflywalk.daemon.settings.DaemonSettings.Limits;
-import io.fireflywalk.platform.time.TimerService;
+import io.fireflywalk.services.time.TimerService;
 import io.vertx.core.http.HttpConnection;
 import java.time.Duration;
 import java.util.HashMap;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/GatewayContext.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/GatewayContext.java
@@ -7,7 +7,7 @@
 import io.fireflywalk.daemon.routing.RunnerRouter;
 import io.fireflywalk.daemon.settings.DaemonSettings;
 import io.fireflywalk.daemon.usage.UsageRecorder;
-import io.fireflywalk.platform.time.TimerService;
+import io.fireflywalk.services.time.TimerService;
 import java.util.function.Supplier;
 
 /**
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/ModelRequest.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/ModelRequest.java
@@ -4,7 +4,7 @@
 import com.fasterxml.jackson.core.JsonToken;
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
-import io.fireflywalk.platform.codec.Codec;
+import io.fireflywalk.services.codec.Codec;
 import io.vertx.core.buffer.Buffer;
 import java.io.IOException;
 import java.util.Optional;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/ProgressTimer.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/ProgressTimer.java
@@ -1,6 +1,6 @@
 package io.fireflywalk.daemon.gateway;
 
-import io.fireflywalk.platform.time.TimerService;
+import io.fireflywalk.services.time.TimerService;
 import io.reactivex.rxjava3.disposables.Disposable;
 import java.time.Duration;
 
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/ResponseEnd.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/ResponseEnd.java
@@ -1,6 +1,6 @@
 package io.fireflywalk.daemon.gateway;
 
-import io.fireflywalk.platform.time.TimerService;
+import io.fireflywalk.services.time.TimerService;
 import io.reactivex.rxjava3.disposables.Disposable;
 import io.vertx.core.Future;
 import io.vertx.core.http.HttpConnection;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/RetryGovernor.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/RetryGovernor.java
@@ -6,7 +6,7 @@
 import io.fireflywalk.core.retry.HedgePolicy;
 import io.fireflywalk.core.retry.RetryBudget;
 import io.fireflywalk.daemon.settings.DaemonSettings.RetrySettings;
-import io.fireflywalk.platform.time.TimerService;
+import io.fireflywalk.services.time.TimerService;
 import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Map;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/TargetConnections.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/TargetConnections.java
@@ -2,7 +2,7 @@
 
 import io.fireflywalk.core.configuration.Target;
 import io.fireflywalk.daemon.settings.DaemonSettings.TargetSettings;
-import io.fireflywalk.platform.time.TimerService;
+import io.fireflywalk.services.time.TimerService;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/TokenText.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/TokenText.java
@@ -2,7 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
-import io.fireflywalk.platform.codec.Codec;
+import io.fireflywalk.services.codec.Codec;
 import java.io.IOException;
 import java.util.Optional;
 
--- /dev/null
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressServer.java
@@ -0,0 +1,145 @@
+package io.fireflywalk.daemon.ingress;
+
+import io.fireflywalk.core.error.ErrorKind;
+import io.fireflywalk.core.error.FireflywalkException;
+import io.fireflywalk.core.ingress.HostRoute;
+import io.fireflywalk.core.ingress.RequestDescription;
+import io.fireflywalk.core.ingress.RoutingConfiguration;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** HTTP server for callers: finds the route and the client account of each request. Confined to one event loop. */
+final class IngressServer {
+    private static final String LOCATION = "ingress";
+    private static final int MAXIMUM_HEAD_BYTES = 65_536;
+    private static final int MAXIMUM_LINE_BYTES = 16_384;
+    /** Idle time after which a caller's connection is closed; longer than operators let callers reuse idle ones. */
+    private static final Duration IDLE_CONNECTION = Duration.ofSeconds(30);
+
+    private final IngressContext context;
+    private final IngressExchangeLimits limits;
+    private final HttpServer server;
+    private final Map<HttpConnection, Integer> connections = new HashMap<>();
+    private int requestsInFlight;
+
+    IngressServer(Vertx vertx, IngressContext context, IngressExchangeLimits limits) {
+        this.context = context;
+        this.limits = limits;
+        HttpServerOptions options = new HttpServerOptions()
+                .setMaxHeaderSize(MAXIMUM_HEAD_BYTES)
+                .setMaxInitialLineLength(MAXIMUM_LINE_BYTES)
+                .setIdleTimeout((int) IDLE_CONNECTION.toSeconds())
+                .setHttp2ClearTextEnabled(false)
+                .setHandle100ContinueAutomatically(true);
+        this.server = vertx.createHttpServer(options)
+                .connectionHandler(this::connected)
+                .requestHandler(this::handle);
+    }
+
+    Future<HttpServer> listen(String host, int port) {
+        return server.listen(port, host);
+    }
+
+    /** Returns the number of requests whose answer has not ended. */
+    int requestsInFlight() {
+        return requestsInFlight;
+    }
+
+    /** Closes connections without a request, so that their callers connect to another instance. */
+    void closeIdleConnections() {
+        List<HttpConnection> idle = connections.entrySet().stream()
+                .filter(entry -> entry.getValue() == 0)
+                .map(Map.Entry::getKey)
+                .toList();
+        idle.forEach(HttpConnection::close);
+    }
+
+    private void connected(HttpConnection connection) {
+        connections.put(connection, 0);
+        connection.closeHandler(ignored -> connections.remove(connection));
+    }
+
+    private void handle(HttpServerRequest request) {
+        requestsInFlight++;
+        HttpConnection connection = request.connection();
+        connections.computeIfPresent(connection, (key, open) -> open + 1);
+        CallerExchange caller = new CallerExchange(context, request, () -> {
+            requestsInFlight--;
+            connections.computeIfPresent(connection, (key, open) -> open - 1);
+        });
+        try {
+            dispatch(caller, request);
+        } catch (FireflywalkException exception) {
+            // The rest of the body is read and dropped, so that the connection stays in order.
+            caller.readBody(
+                    Integer.MAX_VALUE,
+                    () -> refuse(caller, request, exception),
+                    () -> refuse(caller, request, exception));
+        }
+    }
+
+    private void refuse(CallerExchange caller, HttpServerRequest request, FireflywalkException cause) {
+        long now = context.timers().monotonicNanoseconds();
+        context.metrics()
+                .ended(
+                        now,
+                        now - caller.arrivedAt(),
+                        cause.kind().code(),
+                        false,
+                        () -> String.format(
+                                "event=request_refused outcome=%s status=%d host=%s path=%s cause=\"%s\" configuration=%d",
+                                cause.kind().code(),
+                                cause.kind().httpStatus(),
+                                request.getHeader("host"),
+                                request.path(),
+                                cause.detail(),
+                                context.configuration().version()));
+        caller.refuse(cause);
+    }
+
+    private void dispatch(CallerExchange caller, HttpServerRequest request) throws FireflywalkException {
+        RoutingConfiguration configuration = context.configuration()
+                .current()
+                .orElseThrow(() -> new FireflywalkException(
+                        ErrorKind.CONFIGURATION_STALE, "no configuration has been read yet", LOCATION));
+        HostRoute route = configuration
+                .route(host(request), Optional.ofNullable(request.path()).orElse(""))
+                .orElseThrow(() -> new FireflywalkException(ErrorKind.UNKNOWN_ROUTE, "no route", LOCATION));
+        Optional<String> account = authenticate(configuration, route, request);
+        RequestDescription description = context.callers().describe(request.headers());
+        caller.readBody(
+                configuration.limits().bodyBytes(),
+                () -> new IngressCall(context, limits, caller, route, description, account).begin(),
+                () -> refuse(
+                        caller,
+                        request,
+                        new FireflywalkException(ErrorKind.BODY_TOO_LARGE, "the body is too large", LOCATION)));
+    }
+
+    private Optional<String> authenticate(
+            RoutingConfiguration configuration, HostRoute route, HttpServerRequest request)
+            throws FireflywalkException {
+        Optional<String> key = context.callers().key(request.headers());
+        Optional<String> account = key.flatMap(configuration::account);
+        if (account.isEmpty() && configuration.keyed() && !route.open()) {
+            ErrorKind kind = key.isPresent() ? ErrorKind.UNKNOWN_KEY : ErrorKind.MISSING_KEY;
+            throw new FireflywalkException(kind, "the route needs a valid key", LOCATION);
+        }
+        return account;
+    }
+
+    private static String host(HttpServerRequest request) {
+        String header = Optional.ofNullable(request.getHeader("host")).orElse("");
+        int colon = header.indexOf(':');
+        return colon < 0 ? header : header.substring(0, colon);
+    }
+}
--- /dev/null
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/UsageDuty.java
@@ -0,0 +1,214 @@
+package io.fireflywalk.daemon.ingress;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.fireflywalk.core.error.FireflywalkException;
+import io.fireflywalk.daemon.ingress.FleetStore.FleetRow;
+import io.fireflywalk.daemon.ingress.FleetStore.RowTransaction;
+import io.fireflywalk.daemon.ingress.FleetStore.Table;
+import io.fireflywalk.services.codec.Codec;
+import io.fireflywalk.services.time.TimerService;
+import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.disposables.CompositeDisposable;
+import io.vertx.core.buffer.Buffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import org.jboss.logging.Logger;
+
+/**
+ * Stores this instance's counts of each window, and reports the sum of all instances while it holds the lease. The
+ * figures of a window are stored before the first report and every repeat sends the stored ones, so that no window is
+ * reported with two figures. Confined to one event loop.
+ */
+final class UsageDuty {
+    private static final Logger LOG = Logger.getLogger(UsageDuty.class);
+    private static final Duration TICK = Duration.ofSeconds(1);
+    /** Time after the end of a window at which instances store their counts. */
+    private static final Duration STORE_DELAY = Duration.ofMillis(300);
+    /** Time after the end of a window at which it is closed: late starts and slow store calls are in by then. */
+    private static final Duration CLOSE_DELAY = Duration.ofMillis(3500);
+    /** Windows after which a report is no longer tried. */
+    private static final int MAXIMUM_AGE_WINDOWS = 6;
+
+    private static final int PAGE_ROWS = 500;
+
+    private final IngressSettings settings;
+    private final FleetStore store;
+    private final UsageReports reports;
+    private final UsageCounter counter;
+    private final Coordination coordination;
+    private final TimerService timers;
+    private final long windowMilliseconds;
+    private final CompositeDisposable loops = new CompositeDisposable();
+    private boolean storing;
+    private boolean reporting;
+    private long reportedThrough;
+
+    UsageDuty(
+            IngressSettings settings,
+            FleetStore store,
+            UsageReports reports,
+            UsageCounter counter,
+            Coordination coordination,
+            TimerService timers) {
+        this.settings = settings;
+        this.store = store;
+        this.reports = reports;
+        this.counter = counter;
+        this.coordination = coordination;
+        this.timers = timers;
+        this.windowMilliseconds =
+                Duration.ofSeconds(settings.bounds().usageWindowSeconds()).toMillis();
+        this.reportedThrough = counter.currentWindow() - 1;
+    }
+
+    void start() {
+        loops.add(timers.every(TICK).subscribe(tick -> {
+            long closed = (timers.wallClockMilliseconds() - STORE_DELAY.toMillis()) / windowMilliseconds;
+            storeCounts(closed);
+            report();
+        }));
+    }
+
+    /** Stores the counts of the open window too and stops. */
+    Completable stop() {
+        loops.dispose();
+        return storeWindows(counter.all());
+    }
+
+    private void storeCounts(long beforeWindow) {
+        if (storing || counter.before(beforeWindow).isEmpty()) {
+            return;
+        }
+        storing = true;
+        List<Long> stored = List.copyOf(counter.before(beforeWindow).keySet());
+        loops.add(storeWindows(counter.before(beforeWindow))
+                .subscribe(
+                        () -> {
+                            storing = false;
+                            stored.forEach(counter::forget);
+                        },
+                        cause -> {
+                            storing = false;
+                            LOG.warnf("event=usage_not_stored windows=%s cause=\"%s\"", stored, cause.getMessage());
+                        }));
+    }
+
+    private Completable storeWindows(Map<Long, Map<String, Long>> windows) {
+        if (windows.isEmpty()) {
+            return Completable.complete();
+        }
+        RowTransaction transaction = RowTransaction.empty();
+        for (Map.Entry<Long, Map<String, Long>> window : windows.entrySet()) {
+            ObjectNode counts = Codec.json().mapper().createObjectNode();
+            window.getValue().forEach(counts::put);
+            transaction = transaction.writing(
+                    Table.USAGE,
+                    windowKey(window.getKey()) + settings.instance().name() + "/" + startedAt,
+                    Buffer.buffer(counts.toString()));
+        }
+        return store.commit(transaction).ignoreElement();
+    }
+
+    /** Distinguishes the rows of two runs of an instance within one window. */
+    private final long startedAt =
+            java.util.concurrent.ThreadLocalRandom.current().nextLong(Long.MAX_VALUE);
+
+    private static String windowKey(long window) {
+        return String.format(Locale.ROOT, "%016d/", window);
+    }
+
+    // Reports
+
+    private void report() {
+        if (reporting || coordination.token().isEmpty() || settings.reports().isEmpty()) {
+            return;
+        }
+        long newest = (timers.wallClockMilliseconds() - CLOSE_DELAY.toMillis()) / windowMilliseconds - 1;
+        long next = Math.max(reportedThrough + 1, newest - MAXIMUM_AGE_WINDOWS);
+        if (next > newest) {
+            return;
+        }
+        reporting = true;
+        loops.add(reportWindow(next)
+                .subscribe(
+                        () -> {
+                            reporting = false;
+                            reportedThrough = Math.max(reportedThrough, next);
+                        },
+                        cause -> {
+                            reporting = false;
+                            LOG.warnf("event=usage_not_reported window=%d cause=\"%s\"", next, cause.getMessage());
+                        }));
+    }
+
+    private Completable reportWindow(long window) {
+        return frozenFigures(window).flatMapCompletable(figures -> {
+            var token = coordination.token();
+            if (token.isEmpty()) {
+                return Completable.error(new FireflywalkException(
+                        io.fireflywalk.core.error.ErrorKind.AUTHORITY_LOST, "the lease ended", "usage report"));
+            }
+            return reports.report(settings.instance().name(), token.get(), window, figures)
+                    .doOnSuccess(accepted -> {
+                        LOG.infof(
+                                "event=usage_reported window=%d token=%d accounts=%d accepted=%s",
+                                window, token.get(), figures.size(), accepted);
+                        if (!accepted) {
+                            coordination.superseded();
+                        }
+                    })
+                    .ignoreElement();
+        });
+    }
+
+    /** Returns the stored figures of the window, or stores the sum of all counts as its figures. */
+    private Single<Map<String, Long>> frozenFigures(long window) {
+        String key = windowKey(window);
+        return store.read(Table.REPORT, key, key + '\0', 1).flatMap(page -> {
+            if (!page.rows().isEmpty()) {
+                return Single.just(counts(page.rows().get(0)));
+            }
+            return sum(window, "", new TreeMap<>()).flatMap(figures -> {
+                ObjectNode value = Codec.json().mapper().createObjectNode();
+                figures.forEach(value::put);
+                return store.commit(RowTransaction.empty()
+                                .expecting(Table.REPORT, key, 0)
+                                .writing(Table.REPORT, key, Buffer.buffer(value.toString())))
+                        .flatMap(result -> result.committed()
+                                ? Single.just(figures)
+                                : Single.error(new FireflywalkException(
+                                        io.fireflywalk.core.error.ErrorKind.STORE_UNAVAILABLE,
+                                        "another instance stored the figures",
+                                        "usage report")));
+            });
+        });
+    }
+
+    private Single<Map<String, Long>> sum(long window, String after, Map<String, Long> total) {
+        String from = after.isEmpty() ? windowKey(window) : after + '\0';
+        return store.read(Table.USAGE, from, windowKey(window + 1), PAGE_ROWS).flatMap(page -> {
+            for (FleetRow row : page.rows()) {
+                counts(row).forEach((account, count) -> total.merge(account, count, Long::sum));
+            }
+            if (page.more() && !page.rows().isEmpty()) {
+                return sum(window, page.rows().get(page.rows().size() - 1).key(), total);
+            }
+            return Single.just(total);
+        });
+    }
+
+    private static Map<String, Long> counts(FleetRow row) throws FireflywalkException {
+        String text = row.value().orElse(Buffer.buffer("{}")).toString(StandardCharsets.UTF_8);
+        JsonNode node = Codec.json().read(text, JsonNode.class, row.key());
+        Map<String, Long> counts = new TreeMap<>();
+        node.properties()
+                .forEach(field -> counts.put(field.getKey(), field.getValue().asLong()));
+        return counts;
+    }
+}
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/operators/MetricsPage.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/operators/MetricsPage.java
@@ -13,13 +13,14 @@
 import java.util.TreeMap;
 
 /** Renders the metrics as plain text for scraping. Stateless. */
-final class MetricsPage {
+public final class MetricsPage {
     private static final double NANOSECONDS_PER_SECOND = 1e9;
     private static final double[] QUANTILES = {0.5, 0.95, 0.99};
 
     private MetricsPage() {}
 
-    static String render(MetricRegistry registry) {
+    /** Returns the page. */
+    public static String render(MetricRegistry registry) {
         StringBuilder page = new StringBuilder();
         for (Map.Entry<String, Metric> entry : new TreeMap<>(registry.getMetrics()).entrySet()) {
             String name = "fireflywalk_" + entry.getKey().replaceAll("[^a-zA-Z0-9_]", "_");
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/operators/TlsReloader.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/operators/TlsReloader.java
@@ -1,7 +1,7 @@
 package io.fireflywalk.daemon.operators;
 
 import io.fireflywalk.daemon.settings.DaemonSettings;
-import io.fireflywalk.platform.time.TimerService;
+import io.fireflywalk.services.time.TimerService;
 import io.reactivex.rxjava3.disposables.Disposable;
 import io.vertx.core.Vertx;
 import io.vertx.core.file.FileSystem;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/peer/DigestExchange.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/peer/DigestExchange.java
@@ -4,7 +4,7 @@
 import io.fireflywalk.core.membership.DigestItem;
 import io.fireflywalk.core.membership.Member;
 import io.fireflywalk.core.membership.MemberSet;
-import io.fireflywalk.platform.time.TimerService;
+import io.fireflywalk.services.time.TimerService;
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.disposables.Disposable;
 import java.time.Duration;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/peer/HeartbeatService.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/peer/HeartbeatService.java
@@ -11,7 +11,7 @@
 import io.fireflywalk.core.membership.RoundParticipant;
 import io.fireflywalk.core.membership.RoundRequest;
 import io.fireflywalk.core.membership.RoundTree;
-import io.fireflywalk.platform.time.TimerService;
+import io.fireflywalk.services.time.TimerService;
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Maybe;
 import io.reactivex.rxjava3.core.Single;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/peer/PeerParts.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/peer/PeerParts.java
@@ -2,7 +2,7 @@
 
 import io.fireflywalk.core.configuration.ConfigurationSnapshot;
 import io.fireflywalk.core.membership.Member;
-import io.fireflywalk.platform.time.TimerService;
+import io.fireflywalk.services.time.TimerService;
 import java.util.Random;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/peer/PeerServer.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/peer/PeerServer.java
@@ -2,7 +2,7 @@
 
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
-import io.fireflywalk.platform.codec.Codec;
+import io.fireflywalk.services.codec.Codec;
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.disposables.Disposable;
 import io.vertx.core.Future;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/placement/PlacementLoop.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/placement/PlacementLoop.java
@@ -10,7 +10,7 @@
 import io.fireflywalk.core.placement.PlacementScope;
 import io.fireflywalk.core.placement.PlacementState;
 import io.fireflywalk.core.placement.WeightStoreBudget;
-import io.fireflywalk.platform.time.TimerService;
+import io.fireflywalk.services.time.TimerService;
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Single;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/routing/RunnerAttempt.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/routing/RunnerAttempt.java
@@ -6,7 +6,7 @@
 import io.fireflywalk.core.routing.PrefixEstimate;
 import io.fireflywalk.core.routing.RequestFeatures;
 import io.fireflywalk.core.routing.RoutingDecision;
-import io.fireflywalk.platform.time.TimerService;
+import io.fireflywalk.services.time.TimerService;
 
 /** One attempt at a runner; tells the view of its progress. Confined to one event loop. */
 public final class RunnerAttempt {
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/routing/RunnerRouter.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/routing/RunnerRouter.java
@@ -12,7 +12,7 @@
 import io.fireflywalk.core.routing.RoutingDecision;
 import io.fireflywalk.core.routing.RoutingSettings;
 import io.fireflywalk.core.routing.SentDigest;
-import io.fireflywalk.platform.time.TimerService;
+import io.fireflywalk.services.time.TimerService;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/settings/SettingsLoader.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/settings/SettingsLoader.java
@@ -5,7 +5,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
-import io.fireflywalk.platform.codec.Codec;
+import io.fireflywalk.services.codec.Codec;
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/usage/UsageCopier.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/usage/UsageCopier.java
@@ -7,7 +7,7 @@
 import io.fireflywalk.core.usage.UsageBatch;
 import io.fireflywalk.core.usage.UsageLedger;
 import io.fireflywalk.daemon.peer.MemberDirectory;
-import io.fireflywalk.platform.time.TimerService;
+import io.fireflywalk.services.time.TimerService;
 import io.reactivex.rxjava3.disposables.CompositeDisposable;
 import java.time.Duration;
 import java.util.ArrayList;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/usage/UsageCopyHolder.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/usage/UsageCopyHolder.java
@@ -7,7 +7,7 @@
 import io.fireflywalk.core.usage.UsageCopies;
 import io.fireflywalk.core.usage.UsageRow;
 import io.fireflywalk.daemon.peer.MemberDirectory;
-import io.fireflywalk.platform.time.TimerService;
+import io.fireflywalk.services.time.TimerService;
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.disposables.CompositeDisposable;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/usage/UsageRecorder.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/usage/UsageRecorder.java
@@ -12,7 +12,7 @@
 import io.fireflywalk.core.usage.UsageBatch;
 import io.fireflywalk.core.usage.UsageLedger;
 import io.fireflywalk.daemon.peer.MemberDirectory;
-import io.fireflywalk.platform.time.TimerService;
+import io.fireflywalk.services.time.TimerService;
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.disposables.CompositeDisposable;
 import io.reactivex.rxjava3.subjects.CompletableSubject;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/usage/UsageRetention.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/usage/UsageRetention.java
@@ -2,10 +2,10 @@
 
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
-import io.fireflywalk.platform.table.Row;
-import io.fireflywalk.platform.table.TableService;
-import io.fireflywalk.platform.table.Transaction;
-import io.fireflywalk.platform.time.TimerService;
+import io.fireflywalk.services.table.Row;
+import io.fireflywalk.services.table.TableService;
+import io.fireflywalk.services.table.Transaction;
+import io.fireflywalk.services.time.TimerService;
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.disposables.CompositeDisposable;
 import java.util.List;
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/admission/AdmissionGateTest.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/admission/AdmissionGateTest.java
@@ -13,7 +13,7 @@
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
 import io.fireflywalk.core.error.RunState;
-import io.fireflywalk.platform.time.SchedulerTimerService;
+import io.fireflywalk.services.time.SchedulerTimerService;
 import io.reactivex.rxjava3.schedulers.TestScheduler;
 import io.vertx.core.Future;
 import java.util.List;
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/endtoend/AuthorityFailureTest.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/endtoend/AuthorityFailureTest.java
@@ -3,7 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.fireflywalk.platform.codec.Codec;
+import io.fireflywalk.services.codec.Codec;
 import io.fireflywalk.standin.EngineOrderBook;
 import io.fireflywalk.standin.EngineOrderBook.ReceivedOrder;
 import io.fireflywalk.standin.StandinMain;
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/fault/FaultyTableService.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/fault/FaultyTableService.java
@@ -2,10 +2,10 @@
 
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
-import io.fireflywalk.platform.table.Row;
-import io.fireflywalk.platform.table.TableService;
-import io.fireflywalk.platform.table.Transaction;
-import io.fireflywalk.platform.table.TransactionResult;
+import io.fireflywalk.services.table.Row;
+import io.fireflywalk.services.table.TableService;
+import io.fireflywalk.services.table.Transaction;
+import io.fireflywalk.services.table.TransactionResult;
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.core.Single;
 import java.util.List;
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/operators/TlsReloaderTest.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/operators/TlsReloaderTest.java
@@ -4,7 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.fireflywalk.daemon.settings.DaemonSettings;
-import io.fireflywalk.platform.time.SchedulerTimerService;
+import io.fireflywalk.services.time.SchedulerTimerService;
 import io.reactivex.rxjava3.schedulers.TestScheduler;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/placement/PlacementLoopTest.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/placement/PlacementLoopTest.java
@@ -17,7 +17,7 @@
 import io.fireflywalk.core.placement.ServedModel;
 import io.fireflywalk.core.placement.Work;
 import io.fireflywalk.core.routing.RunnerRole;
-import io.fireflywalk.platform.time.SchedulerTimerService;
+import io.fireflywalk.services.time.SchedulerTimerService;
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.schedulers.TestScheduler;
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/routing/LoadWatcherTest.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/routing/LoadWatcherTest.java
@@ -14,7 +14,7 @@
 import io.fireflywalk.core.routing.LoadView;
 import io.fireflywalk.core.routing.PrefixEstimate;
 import io.fireflywalk.core.routing.RunnerProfile;
-import io.fireflywalk.platform.time.VertxTimerService;
+import io.fireflywalk.services.time.VertxTimerService;
 import io.fireflywalk.standin.ModelEngineServer;
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
--- a/fireflywalk-operator/src/main/java/io/fireflywalk/operator/message/OperatorMessages.java
+++ b/fireflywalk-operator/src/main/java/io/fireflywalk/operator/message/OperatorMessages.java
@@ -1,7 +1,7 @@
 package io.fireflywalk.operator.message;
 
-import io.fireflywalk.platform.configuration.ConfigurationFile;
-import io.fireflywalk.platform.configuration.DocumentCodec;
+import io.fireflywalk.services.configuration.ConfigurationFile;
+import io.fireflywalk.services.configuration.DocumentCodec;
 import java.util.List;
 
 /** Messages of the operators' interface. */
--- a/fireflywalk-platform/src/main/java/io/fireflywalk/platform/codec/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** JSON and YAML codecs. */
-package io.fireflywalk.platform.codec;
--- a/fireflywalk-platform/src/main/java/io/fireflywalk/platform/instance/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** The platform's list of instances. */
-package io.fireflywalk.platform.instance;
--- a/fireflywalk-platform/src/main/java/io/fireflywalk/platform/codec/Codec.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/codec/Codec.java
@@ -1,4 +1,4 @@
-package io.fireflywalk.platform.codec;
+package io.fireflywalk.services.codec;
 
 import com.fasterxml.jackson.core.JsonLocation;
 import com.fasterxml.jackson.core.JsonProcessingException;
--- /dev/null
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/codec/package-info.java
@@ -0,0 +1,2 @@
+/** JSON and YAML codecs. */
+package io.fireflywalk.services.codec;
--- a/fireflywalk-platform/src/main/java/io/fireflywalk/platform/configuration/ChangeRecord.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/configuration/ChangeRecord.java
@@ -1,4 +1,4 @@
-package io.fireflywalk.platform.configuration;
+package io.fireflywalk.services.configuration;
 
 import java.util.List;
 
--- a/fireflywalk-platform/src/main/java/io/fireflywalk/platform/configuration/ConfigurationFile.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/configuration/ConfigurationFile.java
@@ -1,4 +1,4 @@
-package io.fireflywalk.platform.configuration;
+package io.fireflywalk.services.configuration;
 
 import io.fireflywalk.core.configuration.ApiKey;
 import io.fireflywalk.core.configuration.ClientAccount;
--- a/fireflywalk-platform/src/main/java/io/fireflywalk/platform/configuration/ConfigurationRepository.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/configuration/ConfigurationRepository.java
@@ -1,14 +1,14 @@
-package io.fireflywalk.platform.configuration;
+package io.fireflywalk.services.configuration;
 
 import io.fireflywalk.core.configuration.ConfigurationSnapshot;
 import io.fireflywalk.core.configuration.DocumentChange;
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
-import io.fireflywalk.platform.codec.Codec;
-import io.fireflywalk.platform.table.Row;
-import io.fireflywalk.platform.table.TableService;
-import io.fireflywalk.platform.table.Transaction;
-import io.fireflywalk.platform.table.TransactionResult;
+import io.fireflywalk.services.codec.Codec;
+import io.fireflywalk.services.table.Row;
+import io.fireflywalk.services.table.TableService;
+import io.fireflywalk.services.table.Transaction;
+import io.fireflywalk.services.table.TransactionResult;
 import io.reactivex.rxjava3.core.Single;
 import java.util.ArrayList;
 import java.util.List;
--- a/fireflywalk-platform/src/main/java/io/fireflywalk/platform/configuration/DocumentCodec.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/configuration/DocumentCodec.java
@@ -1,4 +1,4 @@
-package io.fireflywalk.platform.configuration;
+package io.fireflywalk.services.configuration;
 
 import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -11,7 +11,7 @@
 import io.fireflywalk.core.configuration.Service;
 import io.fireflywalk.core.configuration.Target;
 import io.fireflywalk.core.error.FireflywalkException;
-import io.fireflywalk.platform.codec.Codec;
+import io.fireflywalk.services.codec.Codec;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
--- a/fireflywalk-platform/src/main/java/io/fireflywalk/platform/configuration/package-info.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/configuration/package-info.java
@@ -1,2 +1,2 @@
 /** Configuration documents in the table service. */
-package io.fireflywalk.platform.configuration;
+package io.fireflywalk.services.configuration;
--- a/fireflywalk-platform/src/main/java/io/fireflywalk/platform/http/HttpCaller.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/http/HttpCaller.java
@@ -1,4 +1,4 @@
-package io.fireflywalk.platform.http;
+package io.fireflywalk.services.http;
 
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
--- a/fireflywalk-platform/src/main/java/io/fireflywalk/platform/http/RxFutures.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/http/RxFutures.java
@@ -1,4 +1,4 @@
-package io.fireflywalk.platform.http;
+package io.fireflywalk.services.http;
 
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Single;
--- a/fireflywalk-platform/src/main/java/io/fireflywalk/platform/http/package-info.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/http/package-info.java
@@ -1,2 +1,2 @@
 /** Bridges between Vert.x and RxJava. */
-package io.fireflywalk.platform.http;
+package io.fireflywalk.services.http;
--- a/fireflywalk-platform/src/main/java/io/fireflywalk/platform/instance/InstanceList.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/instance/InstanceList.java
@@ -1,4 +1,4 @@
-package io.fireflywalk.platform.instance;
+package io.fireflywalk.services.instance;
 
 import io.reactivex.rxjava3.core.Single;
 import java.util.List;
--- a/fireflywalk-platform/src/main/java/io/fireflywalk/platform/instance/InstanceStatus.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/instance/InstanceStatus.java
@@ -1,4 +1,4 @@
-package io.fireflywalk.platform.instance;
+package io.fireflywalk.services.instance;
 
 /**
  * Entry of the platform's list of instances.
--- /dev/null
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/instance/package-info.java
@@ -0,0 +1,2 @@
+/** The platform's list of instances. */
+package io.fireflywalk.services.instance;
--- a/fireflywalk-platform/src/main/java/io/fireflywalk/platform/object/HttpObjectStore.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/object/HttpObjectStore.java
@@ -1,8 +1,8 @@
-package io.fireflywalk.platform.object;
+package io.fireflywalk.services.object;
 
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
-import io.fireflywalk.platform.http.HttpCaller;
+import io.fireflywalk.services.http.HttpCaller;
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Single;
 import io.vertx.core.Vertx;
--- a/fireflywalk-platform/src/main/java/io/fireflywalk/platform/object/ObjectStore.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/object/ObjectStore.java
@@ -1,4 +1,4 @@
-package io.fireflywalk.platform.object;
+package io.fireflywalk.services.object;
 
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Single;
--- a/fireflywalk-platform/src/main/java/io/fireflywalk/platform/object/package-info.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/object/package-info.java
@@ -1,2 +1,2 @@
 /** Typed client of the platform object store. */
-package io.fireflywalk.platform.object;
+package io.fireflywalk.services.object;
--- a/fireflywalk-platform/src/main/java/io/fireflywalk/platform/order/HttpEngineOrderClient.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/order/HttpEngineOrderClient.java
@@ -1,10 +1,10 @@
-package io.fireflywalk.platform.order;
+package io.fireflywalk.services.order;
 
 import io.fireflywalk.core.configuration.Target;
 import io.fireflywalk.core.order.EngineOrder;
 import io.fireflywalk.core.order.EngineOrderAnswer;
 import io.fireflywalk.core.order.EngineState;
-import io.fireflywalk.platform.codec.Codec;
+import io.fireflywalk.services.codec.Codec;
 import io.reactivex.rxjava3.core.Single;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpMethod;
--- a/fireflywalk-platform/src/main/java/io/fireflywalk/platform/order/HttpTargetPlatform.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/order/HttpTargetPlatform.java
@@ -1,8 +1,8 @@
-package io.fireflywalk.platform.order;
+package io.fireflywalk.services.order;
 
 import io.fireflywalk.core.order.TargetOrder;
 import io.fireflywalk.core.order.TargetOrderOutcome;
-import io.fireflywalk.platform.codec.Codec;
+import io.fireflywalk.services.codec.Codec;
 import io.reactivex.rxjava3.core.Single;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpMethod;
--- a/fireflywalk-platform/src/main/java/io/fireflywalk/platform/order/JsonHttpClient.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/order/JsonHttpClient.java
@@ -1,8 +1,8 @@
-package io.fireflywalk.platform.order;
+package io.fireflywalk.services.order;
 
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
-import io.fireflywalk.platform.http.RxFutures;
+import io.fireflywalk.services.http.RxFutures;
 import io.reactivex.rxjava3.core.Single;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
--- a/fireflywalk-platform/src/main/java/io/fireflywalk/platform/order/PlatformInstance.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/order/PlatformInstance.java
@@ -1,4 +1,4 @@
-package io.fireflywalk.platform.order;
+package io.fireflywalk.services.order;
 
 /**
  * Instance as the platform's list shows it.
--- a/fireflywalk-platform/src/main/java/io/fireflywalk/platform/order/TargetPlatform.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/order/TargetPlatform.java
@@ -1,4 +1,4 @@
-package io.fireflywalk.platform.order;
+package io.fireflywalk.services.order;
 
 import io.fireflywalk.core.order.TargetOrder;
 import io.fireflywalk.core.order.TargetOrderOutcome;
--- a/fireflywalk-platform/src/main/java/io/fireflywalk/platform/order/package-info.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/order/package-info.java
@@ -1,2 +1,2 @@
 /** Clients for orders to engines and for orders of targets to the platform. */
-package io.fireflywalk.platform.order;
+package io.fireflywalk.services.order;
--- a/fireflywalk-platform/src/main/java/io/fireflywalk/platform/table/HttpTableService.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/table/HttpTableService.java
@@ -1,9 +1,9 @@
-package io.fireflywalk.platform.table;
+package io.fireflywalk.services.table;
 
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
-import io.fireflywalk.platform.codec.Codec;
-import io.fireflywalk.platform.http.RxFutures;
+import io.fireflywalk.services.codec.Codec;
+import io.fireflywalk.services.http.RxFutures;
 import io.reactivex.rxjava3.core.Single;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
--- a/fireflywalk-platform/src/main/java/io/fireflywalk/platform/table/ResolvingTableService.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/table/ResolvingTableService.java
@@ -1,8 +1,8 @@
-package io.fireflywalk.platform.table;
+package io.fireflywalk.services.table;
 
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
-import io.fireflywalk.platform.time.TimerService;
+import io.fireflywalk.services.time.TimerService;
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Single;
 import java.time.Duration;
--- a/fireflywalk-platform/src/main/java/io/fireflywalk/platform/table/Row.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/table/Row.java
@@ -1,4 +1,4 @@
-package io.fireflywalk.platform.table;
+package io.fireflywalk.services.table;
 
 /**
  * A row of the table service.
--- a/fireflywalk-platform/src/main/java/io/fireflywalk/platform/table/TableMeters.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/table/TableMeters.java
@@ -1,11 +1,11 @@
-package io.fireflywalk.platform.table;
+package io.fireflywalk.services.table;
 
 import com.codahale.metrics.Clock;
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.Meter;
 import com.codahale.metrics.MetricRegistry;
-import io.fireflywalk.platform.time.TimerService;
+import io.fireflywalk.services.time.TimerService;
 import java.util.concurrent.TimeUnit;
 
 /** Metrics of the calls to the table service, as totals and as rates over the last minute. Thread-safe. */
--- a/fireflywalk-platform/src/main/java/io/fireflywalk/platform/table/TableService.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/table/TableService.java
@@ -1,4 +1,4 @@
-package io.fireflywalk.platform.table;
+package io.fireflywalk.services.table;
 
 import io.reactivex.rxjava3.core.Single;
 import java.util.List;
--- a/fireflywalk-platform/src/main/java/io/fireflywalk/platform/table/TransactionMarker.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/table/TransactionMarker.java
@@ -1,4 +1,4 @@
-package io.fireflywalk.platform.table;
+package io.fireflywalk.services.table;
 
 import java.util.Locale;
 import java.util.Optional;
--- a/fireflywalk-platform/src/main/java/io/fireflywalk/platform/table/package-info.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/table/package-info.java
@@ -1,2 +1,2 @@
 /** Typed client of the platform's transactional table service. */
-package io.fireflywalk.platform.table;
+package io.fireflywalk.services.table;
--- a/fireflywalk-platform/src/main/java/io/fireflywalk/platform/time/SchedulerTimerService.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/time/SchedulerTimerService.java
@@ -1,4 +1,4 @@
-package io.fireflywalk.platform.time;
+package io.fireflywalk.services.time;
 
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Flowable;
--- a/fireflywalk-platform/src/main/java/io/fireflywalk/platform/time/package-info.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/time/package-info.java
@@ -1,2 +1,2 @@
 /** The timer service, the only source of time in the system. */
-package io.fireflywalk.platform.time;
+package io.fireflywalk.services.time;
--- a/fireflywalk-platform/src/main/java/io/fireflywalk/platform/usage/HttpUsageReportService.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/usage/HttpUsageReportService.java
@@ -1,10 +1,10 @@
-package io.fireflywalk.platform.usage;
+package io.fireflywalk.services.usage;
 
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
 import io.fireflywalk.core.usage.UsageReport;
-import io.fireflywalk.platform.codec.Codec;
-import io.fireflywalk.platform.http.HttpCaller;
+import io.fireflywalk.services.codec.Codec;
+import io.fireflywalk.services.http.HttpCaller;
 import io.reactivex.rxjava3.core.Completable;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
--- a/fireflywalk-platform/src/main/java/io/fireflywalk/platform/usage/UsageReportMessage.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/usage/UsageReportMessage.java
@@ -1,4 +1,4 @@
-package io.fireflywalk.platform.usage;
+package io.fireflywalk.services.usage;
 
 import io.fireflywalk.core.usage.UsageReport;
 
--- a/fireflywalk-platform/src/main/java/io/fireflywalk/platform/usage/package-info.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/usage/package-info.java
@@ -1,2 +1,2 @@
 /** Typed client of the platform interface that takes usage reports. */
-package io.fireflywalk.platform.usage;
+package io.fireflywalk.services.usage;
--- a/fireflywalk-standin/src/main/java/io/fireflywalk/standin/EngineOrderHandler.java
+++ b/fireflywalk-standin/src/main/java/io/fireflywalk/standin/EngineOrderHandler.java
@@ -3,8 +3,8 @@
 import io.fireflywalk.core.error.FireflywalkException;
 import io.fireflywalk.core.order.EngineOrder;
 import io.fireflywalk.core.order.EngineOrderAnswer;
-import io.fireflywalk.platform.codec.Codec;
-import io.fireflywalk.platform.time.TimerService;
+import io.fireflywalk.services.codec.Codec;
+import io.fireflywalk.services.time.TimerService;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServerRequest;
 
--- a/fireflywalk-standin/src/main/java/io/fireflywalk/standin/FaultyTableService.java
+++ b/fireflywalk-standin/src/main/java/io/fireflywalk/standin/FaultyTableService.java
@@ -2,11 +2,11 @@
 
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
-import io.fireflywalk.platform.table.Row;
-import io.fireflywalk.platform.table.TableService;
-import io.fireflywalk.platform.table.Transaction;
-import io.fireflywalk.platform.table.TransactionResult;
-import io.fireflywalk.platform.time.TimerService;
+import io.fireflywalk.services.table.Row;
+import io.fireflywalk.services.table.TableService;
+import io.fireflywalk.services.table.Transaction;
+import io.fireflywalk.services.table.TransactionResult;
+import io.fireflywalk.services.time.TimerService;
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.disposables.Disposable;
 import java.time.Duration;
--- a/fireflywalk-standin/src/main/java/io/fireflywalk/standin/ObjectStoreServer.java
+++ b/fireflywalk-standin/src/main/java/io/fireflywalk/standin/ObjectStoreServer.java
@@ -1,6 +1,6 @@
 package io.fireflywalk.standin;
 
-import io.fireflywalk.platform.object.ObjectStore;
+import io.fireflywalk.services.object.ObjectStore;
 import io.reactivex.rxjava3.disposables.Disposable;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
--- a/fireflywalk-standin/src/main/java/io/fireflywalk/standin/PlatformLedger.java
+++ b/fireflywalk-standin/src/main/java/io/fireflywalk/standin/PlatformLedger.java
@@ -2,8 +2,8 @@
 
 import io.fireflywalk.core.order.TargetOrder;
 import io.fireflywalk.core.order.TargetOrderOutcome;
-import io.fireflywalk.platform.order.PlatformInstance;
-import io.fireflywalk.platform.order.PlatformTarget;
+import io.fireflywalk.services.order.PlatformInstance;
+import io.fireflywalk.services.order.PlatformTarget;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
--- a/fireflywalk-standin/src/main/java/io/fireflywalk/standin/SimulatedInstanceList.java
+++ b/fireflywalk-standin/src/main/java/io/fireflywalk/standin/SimulatedInstanceList.java
@@ -1,8 +1,8 @@
 package io.fireflywalk.standin;
 
-import io.fireflywalk.platform.instance.InstanceList;
-import io.fireflywalk.platform.instance.InstanceStatus;
-import io.fireflywalk.platform.time.TimerService;
+import io.fireflywalk.services.instance.InstanceList;
+import io.fireflywalk.services.instance.InstanceStatus;
+import io.fireflywalk.services.time.TimerService;
 import io.reactivex.rxjava3.core.Single;
 import java.time.Duration;
 import java.util.ArrayList;
--- a/fireflywalk-standin/src/main/java/io/fireflywalk/standin/TableServiceServer.java
+++ b/fireflywalk-standin/src/main/java/io/fireflywalk/standin/TableServiceServer.java
@@ -1,9 +1,9 @@
 package io.fireflywalk.standin;
 
 import io.fireflywalk.core.error.FireflywalkException;
-import io.fireflywalk.platform.codec.Codec;
-import io.fireflywalk.platform.table.TableService;
-import io.fireflywalk.platform.table.Transaction;
+import io.fireflywalk.services.codec.Codec;
+import io.fireflywalk.services.table.TableService;
+import io.fireflywalk.services.table.Transaction;
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.disposables.Disposable;
 import io.vertx.core.Context;
--- a/fireflywalk-standin/src/main/java/io/fireflywalk/standin/UsageReportServer.java
+++ b/fireflywalk-standin/src/main/java/io/fireflywalk/standin/UsageReportServer.java
@@ -1,8 +1,8 @@
 package io.fireflywalk.standin;
 
 import io.fireflywalk.core.error.FireflywalkException;
-import io.fireflywalk.platform.codec.Codec;
-import io.fireflywalk.platform.usage.UsageReportMessage;
+import io.fireflywalk.services.codec.Codec;
+import io.fireflywalk.services.usage.UsageReportMessage;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
