Order preemptible runners, choose readers by estimated time and fetch shared parts

Ordering runners was not done at all.

Change: the holder of the lease orders preemptible runners (FleetPlanner, ScalingDuty); readers are chosen over all stages by estimated time to the first token (PromptPlacement, RunnerCosts), and a reader without the shared part fetches it from the part's home.

--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/RequestDescription.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/RequestDescription.java
@@ -28,4 +28,13 @@
     public Optional<PromptPart> sharedPart() {
         return promptParts.size() < 2 ? Optional.empty() : Optional.of(promptParts.get(promptParts.size() - 2));
     }
+
+    /** Returns the tokens before the request's own part. */
+    public int sharedTokens() {
+        int tokens = 0;
+        for (int index = 0; index + 1 < promptParts.size(); index++) {
+            tokens += promptParts.get(index).tokens();
+        }
+        return Math.min(tokens, promptTokens);
+    }
 }
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/RoutingConfiguration.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/RoutingConfiguration.java
@@ -1,5 +1,6 @@
 package io.fireflywalk.core.ingress;
 
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
@@ -60,6 +61,11 @@
         return Optional.ofNullable(services.get(name));
     }
 
+    /** Returns all services. */
+    public Collection<ServiceProfile> services() {
+        return services.values();
+    }
+
     /** Returns the client account that holds the key. */
     public Optional<String> account(String key) {
         return Optional.ofNullable(accountByKey.get(key));
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetEntry.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetEntry.java
@@ -10,6 +10,7 @@
  * @param availabilityZone availability zone
  * @param slots requests that run at once
  * @param leaving true if it takes no new work
+ * @param preemptible true if it costs less and may be taken away at short notice
  * @param stage part of model requests that it serves
  * @param startedAtMilliseconds time of its start since 1970-01-01T00:00Z; 0 if not stated
  * @param heartbeats number of the entry's latest heartbeat
@@ -22,6 +23,7 @@
         String availabilityZone,
         int slots,
         boolean leaving,
+        boolean preemptible,
         Stage stage,
         long startedAtMilliseconds,
         long heartbeats) {
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetState.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetState.java
@@ -28,7 +28,7 @@
     private double failureRate;
     private long pausedUntil = Long.MIN_VALUE / 2;
     private boolean trialUnderWay;
-    private long queuedTokens;
+    private double queuedReadMilliseconds;
     /** Time of the last read by prompt part, oldest first. */
     private final Map<String, Long> parts = new LinkedHashMap<>(16, 0.75f, true) {
         @Override
@@ -60,19 +60,19 @@
 
     // Events
 
-    /** Notes a request sent to the target with the tokens that it has to read. */
-    public void sent(int tokensToRead) {
+    /** Notes a request sent to the target with the time that it takes to read its prompt. */
+    public void sent(double readMilliseconds) {
         inFlight++;
         sentSinceReport++;
-        queuedTokens += tokensToRead;
+        queuedReadMilliseconds += readMilliseconds;
         if (consecutiveFailures > 0) {
             trialUnderWay = true;
         }
     }
 
-    /** Notes that the target has read the tokens of a request or gave it up. */
-    public void tokensRead(int tokens) {
-        queuedTokens = Math.max(0, queuedTokens - tokens);
+    /** Notes that the target has read the prompt of a request or gave it up. */
+    public void promptRead(double readMilliseconds) {
+        queuedReadMilliseconds = Math.max(0, queuedReadMilliseconds - readMilliseconds);
     }
 
     /** Notes the end of a request. */
@@ -141,9 +141,9 @@
         return inFlight;
     }
 
-    /** Returns the tokens that own requests still have to read there. */
-    public long queuedTokens() {
-        return queuedTokens;
+    /** Returns the time that the target needs for the prompts of own requests that it has not read. */
+    public double queuedReadMilliseconds() {
+        return queuedReadMilliseconds;
     }
 
     /** Returns the time of the target's last answer. */
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/FleetStore.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/FleetStore.java
@@ -30,6 +30,8 @@
         TARGETS,
         /** Live instances and the leases that they hold. */
         COORDINATION,
+        /** Sizes of fleets as the operator gave them. */
+        FLEET,
         /** Usage counts by window and instance. */
         USAGE,
         /** Usage figures as reported, by window. */
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressCall.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressCall.java
@@ -3,10 +3,11 @@
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
 import io.fireflywalk.core.ingress.HostRoute;
+import io.fireflywalk.core.ingress.PromptPlacement.Placement;
 import io.fireflywalk.core.ingress.RequestDescription;
 import io.fireflywalk.core.ingress.RequestKind;
+import io.fireflywalk.core.ingress.RunnerCosts;
 import io.fireflywalk.core.ingress.TargetEntry.Stage;
-import io.fireflywalk.core.ingress.TargetPicker;
 import io.fireflywalk.core.ingress.TargetPicker.Choice;
 import io.fireflywalk.core.ingress.TargetState;
 import io.fireflywalk.daemon.ingress.TargetProtocol.TargetAnswer;
@@ -60,6 +61,7 @@
     private boolean streaming;
     private boolean finished;
     private String decision = "";
+    private long firstByteMilliseconds = -1;
 
     IngressCall(
             IngressContext context,
@@ -104,60 +106,92 @@
         Collection<TargetState> targets = context.directory().of(service);
         int maximum = limits.requestsPerTarget(service);
         long now = context.timers().monotonicNanoseconds();
-        if (wantsPromptReader()) {
-            List<TargetState> readers = withStage(targets, true);
-            Optional<Choice> reader = context.picker().promptReader(readers, excluded, maximum, description, now);
-            if (reader.isPresent() && (prompt.first() || context.repeats().spend(service))) {
-                prompt.start(reader.get(), request(reader.get().target(), left, true));
+        if (wantsPlacement()) {
+            Optional<Placement> placement =
+                    context.placement().choose(targets, excluded, maximum, description, ownZone(), now);
+            if (placement.isPresent()) {
+                place(placement.get(), left);
                 return;
             }
         }
-        String zone = prompt.zone().orElse(context.settings().instance().availabilityZone());
-        Optional<Choice> choice = context.picker().leastLoaded(withStage(targets, false), excluded, maximum, zone, now);
+        String zone = prompt.zone().orElse(ownZone());
+        Optional<Choice> choice = context.picker().leastLoaded(generating(targets), excluded, maximum, zone, now);
         if (choice.isEmpty()) {
             fail(refusals > 0 ? ErrorKind.TARGET_REFUSED : ErrorKind.NO_TARGET, "no target is available");
             return;
         }
-        send(choice.get(), left);
+        send(choice.get().target(), readMilliseconds(), Optional.empty(), left);
+        decision = decision
+                + String.format(
+                        " cost=%.3f candidates=%d",
+                        choice.get().cost(), choice.get().candidates());
     }
 
-    private boolean wantsPromptReader() {
+    private boolean wantsPlacement() {
         return route.kind() == RequestKind.STREAMING
                 && !begun
                 && description.promptTokens() >= LONG_PROMPT_TOKENS
                 && prompt.wanted();
     }
 
-    private static List<TargetState> withStage(Collection<TargetState> targets, boolean promptsOnly) {
+    private String ownZone() {
+        return context.settings().instance().availabilityZone();
+    }
+
+    private void place(Placement placement, Duration left) {
+        TargetState target = placement.target();
+        if (target.entry().stage() != Stage.PREFILL) {
+            send(target, placement.readMilliseconds(), placement.fetchFrom(), left);
+            decision = decision
+                    + String.format(
+                            " estimate_ms=%.0f candidates=%d", placement.milliseconds(), placement.candidates());
+        } else if (prompt.first() || context.repeats().spend(service)) {
+            prompt.start(placement, request(target, left, true, placement.fetchFrom()));
+        } else {
+            fail(ErrorKind.TARGET_REFUSED, "the prompt could not be read");
+        }
+    }
+
+    private static List<TargetState> generating(Collection<TargetState> targets) {
         return targets.stream()
-                .filter(target -> (target.entry().stage() == Stage.PREFILL) == promptsOnly)
+                .filter(target -> target.entry().stage() != Stage.PREFILL)
                 .toList();
     }
 
-    private void send(Choice choice, Duration left) {
-        TargetState target = choice.target();
-        int toRead = prompt.source().isPresent() ? 0 : description.promptTokens();
-        TargetExchange exchange = new TargetExchange(context, target, toRead, description.attemptIdentifier(), this);
+    private double readMilliseconds() {
+        return prompt.source().isPresent()
+                ? 0
+                : RunnerCosts.defaults().readMilliseconds(description.promptTokens(), 0, true);
+    }
+
+    private void send(TargetState target, double readMilliseconds, Optional<TargetState> fetchFrom, Duration left) {
+        TargetExchange exchange =
+                new TargetExchange(context, target, readMilliseconds, description.attemptIdentifier(), this);
         current = Optional.of(exchange);
         decision = String.format(
-                "target=%s target_zone=%s cost=%.3f candidates=%d load=%.1f failure_rate=%.2f",
+                "target=%s target_zone=%s load=%.1f failure_rate=%.2f",
                 target.entry().identifier(),
                 target.entry().availabilityZone(),
-                choice.cost(),
-                choice.candidates(),
                 target.requests(context.timers().monotonicNanoseconds()),
                 target.failureRate());
-        exchange.start(caller.method(), caller.uri(), caller.headers(), caller.body(), request(target, left, false));
+        exchange.start(
+                caller.method(),
+                caller.uri(),
+                caller.headers(),
+                caller.body(),
+                request(target, left, false, fetchFrom));
         watchSilence(exchange);
     }
 
-    private TargetRequest request(TargetState target, Duration left, boolean promptOnly) {
+    private TargetRequest request(
+            TargetState target, Duration left, boolean promptOnly, Optional<TargetState> fetchFrom) {
         return new TargetRequest(
                 target.entry().identifier(),
                 clientAccount,
                 left,
                 promptOnly,
                 promptOnly ? Optional.empty() : prompt.source(),
+                fetchFrom.map(source -> source.entry().address()),
                 events.lastIdentifier(),
                 Math.min(LOWEST_URGENCY, URGENCY_OF_FIRST_PRIORITY + route.priority()));
     }
@@ -273,6 +307,10 @@
             return;
         }
         exchange.promptRead();
+        if (!begun && description.promptTokens() >= LONG_PROMPT_TOKENS) {
+            context.placement()
+                    .read(exchange.target(), description, context.timers().monotonicNanoseconds());
+        }
         noteBegun();
         Buffer whole = events.accept(chunk);
         if (whole.length() == 0) {
@@ -306,6 +344,7 @@
     private void noteBegun() {
         if (!begun) {
             begun = true;
+            firstByteMilliseconds = elapsed().toMillis();
             prompt.taken();
             clientAccount.ifPresent(context.usage()::requestBegan);
         }
@@ -406,7 +445,7 @@
                         outcome,
                         answered,
                         () -> String.format(
-                                "event=request id=%s route=%s account=%s outcome=%s status=%d cause=\"%s\" ms=%d"
+                                "event=request id=%s route=%s account=%s outcome=%s status=%d cause=\"%s\" first_byte_ms=%d ms=%d"
                                         + " deadline_ms=%d sends=%d refusals=%d configuration=%d %s %s",
                                 description.attemptIdentifier(),
                                 route.name(),
@@ -414,6 +453,7 @@
                                 outcome,
                                 status,
                                 cause.replace('"', '\''),
+                                firstByteMilliseconds,
                                 elapsed.toMillis(),
                                 deadline.toMillis(),
                                 mayHaveRun,
@@ -430,9 +470,4 @@
     private Duration remaining() {
         return deadline.minus(elapsed());
     }
-
-    /** Returns the tokens that a target reads when it has the shared parts of the prompt. */
-    static int ownTokens(RequestDescription description) {
-        return description.promptTokens() - TargetPicker.sharedTokens(description);
-    }
 }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressContext.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressContext.java
@@ -1,5 +1,6 @@
 package io.fireflywalk.daemon.ingress;
 
+import io.fireflywalk.core.ingress.PromptPlacement;
 import io.fireflywalk.core.ingress.TargetPicker;
 import io.fireflywalk.services.time.TimerService;
 import io.vertx.core.http.HttpClient;
@@ -17,6 +18,7 @@
         ConfigurationHolder configuration,
         TargetDirectory directory,
         TargetPicker picker,
+        PromptPlacement placement,
         RepeatBudgets repeats,
         UsageCounter usage,
         IngressMetrics metrics,
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
@@ -2,6 +2,8 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import io.fireflywalk.core.ingress.PromptPlacement;
+import io.fireflywalk.core.ingress.RunnerCosts;
 import io.fireflywalk.core.ingress.ServiceProfile;
 import io.fireflywalk.core.ingress.TargetPicker;
 import io.fireflywalk.daemon.ingress.FleetStore.Table;
@@ -52,6 +54,7 @@
     private final Coordination coordination;
     private final ConfigurationPeers peers;
     private final UsageDuty usageDuty;
+    private final ScalingDuty scalingDuty;
     private final IngressServer server;
     private boolean draining;
 
@@ -73,7 +76,9 @@
         UsageCounter usage = new UsageCounter(
                 timers,
                 Duration.ofSeconds(settings.bounds().usageWindowSeconds()).toMillis());
-        this.usageDuty = new UsageDuty(settings, store, platform.usageReports(), usage, coordination, timers);
+        this.usageDuty = new UsageDuty(settings, store, platform.duties(), usage, coordination, timers);
+        this.scalingDuty =
+                new ScalingDuty(settings, store, platform.duties(), coordination, configuration, directory, timers);
         IngressContext context = new IngressContext(
                 settings,
                 timers,
@@ -88,6 +93,7 @@
                 configuration,
                 directory,
                 new TargetPicker(random),
+                new PromptPlacement(RunnerCosts.defaults(), random),
                 new RepeatBudgets(settings.bounds(), timers, coordination::instances),
                 usage,
                 new IngressMetrics(registry),
@@ -122,6 +128,7 @@
         targetFollower.start();
         coordination.start();
         usageDuty.start();
+        scalingDuty.start();
         String readiness = settings.listen().readiness();
         String callers = settings.listen().callers();
         String host = settings.instance().host();
@@ -171,6 +178,7 @@
                                 .toFlowable())
                         .ignoreElements())
                 .andThen(Completable.defer(() -> {
+                    scalingDuty.stop();
                     coordination.stop();
                     return usageDuty
                             .stop()
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressPlatform.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressPlatform.java
@@ -15,6 +15,6 @@
     /** Returns the client of the store. */
     FleetStore store();
 
-    /** Returns the client of the usage report interface. */
-    UsageReports usageReports();
+    /** Returns the client of the calls that one instance at a time makes. */
+    DutyCalls duties();
 }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/PromptReading.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/PromptReading.java
@@ -1,9 +1,8 @@
 package io.fireflywalk.daemon.ingress;
 
 import io.fireflywalk.core.error.FireflywalkException;
-import io.fireflywalk.core.ingress.PromptPart;
+import io.fireflywalk.core.ingress.PromptPlacement.Placement;
 import io.fireflywalk.core.ingress.RequestDescription;
-import io.fireflywalk.core.ingress.TargetPicker.Choice;
 import io.fireflywalk.core.ingress.TargetState;
 import io.fireflywalk.daemon.ingress.TargetProtocol.CacheSource;
 import io.fireflywalk.daemon.ingress.TargetProtocol.TargetAnswer;
@@ -80,22 +79,21 @@
     }
 
     /** Sends the prompt to the runner. */
-    void start(Choice choice, TargetRequest head) {
+    void start(Placement placement, TargetRequest head) {
         reads++;
-        TargetState target = choice.target();
+        TargetState target = placement.target();
         reader = Optional.of(target);
-        long now = context.timers().monotonicNanoseconds();
-        boolean cached = description
-                .sharedPart()
-                .filter(part -> target.hasPart(part.identifier(), Long.MIN_VALUE))
-                .isPresent();
-        int toRead = cached ? IngressCall.ownTokens(description) : description.promptTokens();
         decision = String.format(
-                "reader=%s reader_cost=%.0f reader_candidates=%d reader_cached=%s tokens=%d",
-                target.entry().identifier(), choice.cost(), choice.candidates(), cached, description.promptTokens());
-        TargetExchange exchange = new TargetExchange(context, target, toRead, description.attemptIdentifier(), this);
+                "reader=%s reader_zone=%s reader_estimate_ms=%.0f reader_candidates=%d fetch_from=%s tokens=%d",
+                target.entry().identifier(),
+                target.entry().availabilityZone(),
+                placement.milliseconds(),
+                placement.candidates(),
+                placement.fetchFrom().map(source -> source.entry().identifier()).orElse("-"),
+                description.promptTokens());
+        TargetExchange exchange = new TargetExchange(
+                context, target, placement.readMilliseconds(), description.attemptIdentifier(), this);
         current = Optional.of(exchange);
-        description.sharedPart().map(PromptPart::identifier).ifPresent(part -> target.partRead(part, now));
         exchange.start(caller.method(), caller.uri(), caller.headers(), caller.body(), head);
         silenceTimer = context.timers().after(SILENCE).subscribe(() -> {
             if (!exchange.ended() && target.lastAnswerAt() < exchange.startedAt()) {
@@ -111,6 +109,9 @@
         response.handler(body::appendBuffer);
         response.endHandler(ignored -> {
             exchange.complete(answer.success());
+            long elapsed = context.timers().monotonicNanoseconds() - exchange.startedAt();
+            decision =
+                    decision + " read_ms=" + Duration.ofNanos(elapsed).toMillis() + " read_status=" + answer.status();
             if (answer.success()) {
                 read(exchange.target(), body);
             } else {
--- /dev/null
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/ScalingDuty.java
@@ -0,0 +1,175 @@
+package io.fireflywalk.daemon.ingress;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.fireflywalk.core.ingress.FleetPlanner;
+import io.fireflywalk.core.ingress.FleetPlanner.ZoneCount;
+import io.fireflywalk.core.ingress.FleetPlanner.ZonePlan;
+import io.fireflywalk.core.ingress.ServiceProfile;
+import io.fireflywalk.daemon.ingress.DutyCalls.Holder;
+import io.fireflywalk.daemon.ingress.FleetStore.RowTransaction;
+import io.fireflywalk.daemon.ingress.FleetStore.Table;
+import io.fireflywalk.services.codec.Codec;
+import io.fireflywalk.services.time.TimerService;
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.disposables.CompositeDisposable;
+import io.vertx.core.buffer.Buffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.jboss.logging.Logger;
+
+/**
+ * Orders targets of scalable services while this instance holds the lease. The size that the operator gave a fleet is
+ * stored before the first order, because later only ordered targets are seen. Confined to one event loop.
+ */
+final class ScalingDuty {
+    private static final Logger LOG = Logger.getLogger(ScalingDuty.class);
+    private static final Duration PERIOD = Duration.ofSeconds(1);
+    /** Time after the start in which targets register, so that the fleet's size can be seen. */
+    private static final Duration REGISTRATION = Duration.ofSeconds(5);
+    /** Time after which an order that has not shown its effect is sent again; a target boots within it. */
+    private static final Duration REPEAT_AFTER = Duration.ofSeconds(6);
+    /** Time after which a zone that had no targets to give is asked again. */
+    private static final Duration RETRY_REFUSED_AFTER = Duration.ofSeconds(4);
+
+    private static final String SIZE_PREFIX = "size/";
+
+    private final IngressSettings settings;
+    private final FleetStore store;
+    private final DutyCalls calls;
+    private final Coordination coordination;
+    private final ConfigurationHolder configuration;
+    private final TargetDirectory directory;
+    private final TimerService timers;
+    private final long startedAt;
+    private final Map<String, Integer> designSizes = new HashMap<>();
+    private final Map<Subject, Order> orders = new HashMap<>();
+    private final CompositeDisposable loops = new CompositeDisposable();
+
+    /** What one order is about. */
+    private record Subject(String service, String availabilityZone, boolean preemptible) {}
+
+    /** Latest order of a subject. */
+    private record Order(int count, long sentAt, boolean pending, boolean refused) {}
+
+    ScalingDuty(
+            IngressSettings settings,
+            FleetStore store,
+            DutyCalls calls,
+            Coordination coordination,
+            ConfigurationHolder configuration,
+            TargetDirectory directory,
+            TimerService timers) {
+        this.settings = settings;
+        this.store = store;
+        this.calls = calls;
+        this.coordination = coordination;
+        this.configuration = configuration;
+        this.directory = directory;
+        this.timers = timers;
+        this.startedAt = timers.monotonicNanoseconds();
+    }
+
+    void start() {
+        loops.add(timers.every(PERIOD).subscribe(tick -> step()));
+    }
+
+    void stop() {
+        loops.dispose();
+    }
+
+    private void step() {
+        if (settings.reports().isEmpty()
+                || coordination.token().isEmpty()
+                || configuration.current().isEmpty()
+                || timers.monotonicNanoseconds() - startedAt < REGISTRATION.toNanos()) {
+            return;
+        }
+        for (ServiceProfile service : configuration.current().get().services()) {
+            if (service.scaling().isPresent()) {
+                scale(service);
+            }
+        }
+    }
+
+    private void scale(ServiceProfile service) {
+        Integer size = designSizes.get(service.name());
+        if (size == null) {
+            loops.add(designSize(service.name())
+                    .subscribe(
+                            found -> designSizes.put(service.name(), found),
+                            cause -> LOG.warnf(
+                                    "event=fleet_size_unknown service=%s cause=\"%s\"",
+                                    service.name(), cause.getMessage())));
+            return;
+        }
+        Map<String, ZoneCount> present = FleetPlanner.count(directory.of(service.name()));
+        for (ZonePlan plan : FleetPlanner.plan(service.scaling().get(), size, present)) {
+            ZoneCount now = present.getOrDefault(plan.availabilityZone(), new ZoneCount(0, 0));
+            order(new Subject(service.name(), plan.availabilityZone(), false), plan.regular(), now.regular());
+            order(new Subject(service.name(), plan.availabilityZone(), true), plan.preemptible(), now.preemptible());
+        }
+    }
+
+    /** Returns the stored size of the fleet, or stores the number of targets that are seen now. */
+    private Single<Integer> designSize(String service) {
+        String key = SIZE_PREFIX + service;
+        return store.read(Table.FLEET, key, key + '\0', 1).flatMap(page -> {
+            if (!page.rows().isEmpty()) {
+                Buffer value = page.rows().get(0).value().orElse(Buffer.buffer("{}"));
+                JsonNode node = Codec.json().read(value.toString(StandardCharsets.UTF_8), JsonNode.class, key);
+                return Single.just(node.path("targets").asInt());
+            }
+            int seen = (int) directory.of(service).stream()
+                    .filter(target -> !target.entry().preemptible())
+                    .count();
+            String value = Codec.json()
+                    .mapper()
+                    .createObjectNode()
+                    .put("targets", seen)
+                    .toString();
+            return store.commit(RowTransaction.empty()
+                            .expecting(Table.FLEET, key, 0)
+                            .writing(Table.FLEET, key, Buffer.buffer(value)))
+                    .map(result -> seen);
+        });
+    }
+
+    private void order(Subject subject, int wanted, int present) {
+        long now = timers.monotonicNanoseconds();
+        Optional<Order> last = Optional.ofNullable(orders.get(subject));
+        if (last.isPresent()) {
+            Order order = last.get();
+            Duration wait = order.refused() ? RETRY_REFUSED_AFTER : REPEAT_AFTER;
+            boolean settled = order.count() == wanted && wanted == present;
+            boolean waiting = order.count() == wanted && now - order.sentAt() < wait.toNanos();
+            if (order.pending() || settled || waiting) {
+                return;
+            }
+        } else if (wanted == present) {
+            return;
+        }
+        Optional<Long> token = coordination.token();
+        if (token.isEmpty()) {
+            return;
+        }
+        orders.put(subject, new Order(wanted, now, true, false));
+        Holder holder = new Holder(settings.instance().name(), token.get());
+        loops.add(calls.orderTargets(
+                        holder, subject.service(), subject.availabilityZone(), subject.preemptible(), wanted)
+                .subscribe(accepted -> answered(subject, wanted, present, now, accepted, token.get()), cause -> {
+                    // The order may be carried out later; the next one states the wanted number again.
+                    LOG.warnf("event=target_order_failed order=%s cause=\"%s\"", subject, cause.getMessage());
+                    orders.put(subject, new Order(wanted, now, false, true));
+                }));
+    }
+
+    private void answered(Subject subject, int wanted, int present, long sentAt, boolean accepted, long token) {
+        LOG.infof(
+                "event=targets_ordered service=%s zone=%s preemptible=%s count=%d present=%d token=%d accepted=%s",
+                subject.service(), subject.availabilityZone(), subject.preemptible(), wanted, present, token, accepted);
+        orders.put(subject, new Order(wanted, sentAt, false, !accepted));
+    }
+}
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetExchange.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetExchange.java
@@ -18,14 +18,14 @@
 final class TargetExchange {
     private final IngressContext context;
     private final TargetState target;
-    private final int tokensToRead;
+    private final double readMilliseconds;
     private final String attemptIdentifier;
     private final Owner owner;
     private final long startedAt;
     private Optional<HttpClientRequest> request = Optional.empty();
     private Optional<HttpClientResponse> response = Optional.empty();
     private boolean sent;
-    private boolean tokensRead;
+    private boolean promptRead;
     private boolean ended;
 
     /** What the owner of an exchange does at each step. */
@@ -39,10 +39,14 @@
     }
 
     TargetExchange(
-            IngressContext context, TargetState target, int tokensToRead, String attemptIdentifier, Owner owner) {
+            IngressContext context,
+            TargetState target,
+            double readMilliseconds,
+            String attemptIdentifier,
+            Owner owner) {
         this.context = context;
         this.target = target;
-        this.tokensToRead = tokensToRead;
+        this.readMilliseconds = readMilliseconds;
         this.attemptIdentifier = attemptIdentifier;
         this.owner = owner;
         this.startedAt = context.timers().monotonicNanoseconds();
@@ -50,7 +54,7 @@
 
     /** Connects and sends the whole request. */
     void start(HttpMethod method, String uri, MultiMap callerHeaders, Buffer body, TargetRequest head) {
-        target.sent(tokensToRead);
+        target.sent(readMilliseconds);
         RequestOptions options = new RequestOptions()
                 .setMethod(method)
                 .setHost(target.entry().host())
@@ -112,9 +116,9 @@
 
     /** Notes that the target has read the prompt. */
     void promptRead() {
-        if (!tokensRead) {
-            tokensRead = true;
-            target.tokensRead(tokensToRead);
+        if (!promptRead) {
+            promptRead = true;
+            target.promptRead(readMilliseconds);
         }
     }
 
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetProtocol.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetProtocol.java
@@ -32,6 +32,7 @@
      * @param timeLeft time until the caller's deadline
      * @param promptOnly true if the target only reads the prompt
      * @param cacheSource where the KV cache of the prompt lies
+     * @param fetchFrom address of a runner from which the KV cache of shared parts is fetched
      * @param lastEvent identifier of the event after which the stream goes on
      * @param urgency rank among requests at the target, 0 to 9 with 0 first
      */
@@ -41,6 +42,7 @@
             Duration timeLeft,
             boolean promptOnly,
             Optional<CacheSource> cacheSource,
+            Optional<String> fetchFrom,
             Optional<String> lastEvent,
             int urgency) {}
 
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/UsageDuty.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/UsageDuty.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.fireflywalk.core.error.FireflywalkException;
+import io.fireflywalk.daemon.ingress.DutyCalls.Holder;
 import io.fireflywalk.daemon.ingress.FleetStore.FleetRow;
 import io.fireflywalk.daemon.ingress.FleetStore.RowTransaction;
 import io.fireflywalk.daemon.ingress.FleetStore.Table;
@@ -39,7 +40,7 @@
 
     private final IngressSettings settings;
     private final FleetStore store;
-    private final UsageReports reports;
+    private final DutyCalls calls;
     private final UsageCounter counter;
     private final Coordination coordination;
     private final TimerService timers;
@@ -52,13 +53,13 @@
     UsageDuty(
             IngressSettings settings,
             FleetStore store,
-            UsageReports reports,
+            DutyCalls calls,
             UsageCounter counter,
             Coordination coordination,
             TimerService timers) {
         this.settings = settings;
         this.store = store;
-        this.reports = reports;
+        this.calls = calls;
         this.counter = counter;
         this.coordination = coordination;
         this.timers = timers;
@@ -154,7 +155,7 @@
                 return Completable.error(new FireflywalkException(
                         io.fireflywalk.core.error.ErrorKind.AUTHORITY_LOST, "the lease ended", "usage report"));
             }
-            return reports.report(settings.instance().name(), token.get(), window, figures)
+            return calls.reportUsage(new Holder(settings.instance().name(), token.get()), window, figures)
                     .doOnSuccess(accepted -> {
                         LOG.infof(
                                 "event=usage_reported window=%d token=%d accounts=%d accepted=%s",
