Share placements between instances and refuse prompts that would wait too long

Cause: estimates of a runner's queue left out what other instances had sent, and presumed shared parts cached at homes that had never read them, so that actual reads took up to ten times the estimate; in the high waves all prompts were late instead of some being refused. Runners that changed their stage refused requests that were then answered 502 instead of 503, because the refused exchange still counted as open.

Change: datagrams tell instances of each placement; refusing targets are paused; prompts are refused at once when the wait alone costs the objective; listeners are opened again when the port is still held after a restart.

--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/FleetPlanner.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/FleetPlanner.java
@@ -18,6 +18,9 @@
     /** Targets that are planned for each one of the fleet as the operator sized it; waves double the demand. */
     private static final double WAVE_FACTOR = 2;
 
+    /** Part of the runners that read prompts; reading takes about as much of the runners' time as generating. */
+    private static final double READER_PART = 0.5;
+
     private FleetPlanner() {}
 
     /** Wanted targets of a service in an availability zone. */
@@ -79,4 +82,31 @@
         int regular = replaceable ? 0 : Math.min(now.regular(), total - now.preemptible());
         return new ZonePlan(zone, regular, total - regular);
     }
+
+    /**
+     * Returns runners of the decode stage that should change to the prefill stage, so that each availability zone has its
+     * part of readers. Runners that have just joined or generate least come first.
+     */
+    public static List<TargetState> newReaders(Collection<TargetState> targets, long now) {
+        List<TargetState> changes = new ArrayList<>();
+        Map<String, List<TargetState>> byZone = new TreeMap<>();
+        for (TargetState target : targets) {
+            if (!target.entry().leaving() && target.entry().stage() != TargetEntry.Stage.WHOLE) {
+                byZone.computeIfAbsent(target.entry().availabilityZone(), zone -> new ArrayList<>())
+                        .add(target);
+            }
+        }
+        for (List<TargetState> zone : byZone.values()) {
+            long readers = zone.stream()
+                    .filter(target -> target.entry().stage() == TargetEntry.Stage.PREFILL)
+                    .count();
+            int wanted = (int) Math.floor(zone.size() * READER_PART);
+            zone.stream()
+                    .filter(target -> target.entry().stage() == TargetEntry.Stage.DECODE)
+                    .sorted(Comparator.comparingDouble(target -> target.requests(now)))
+                    .limit(Math.max(0, wanted - readers))
+                    .forEach(changes::add);
+        }
+        return changes;
+    }
 }
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/PromptPlacement.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/PromptPlacement.java
@@ -11,25 +11,28 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Chooses the runner that reads a long prompt, by the estimated time to its first token. All instances take the runner
- * that rendezvous hashing names for a shared part as its home, so that a part is read once without messages between
- * them; other runners fetch its KV cache from there. Confined to one thread.
+ * Chooses the runner that reads a long prompt, by the estimated time to its first token. A runner that lacks the shared
+ * part fetches its KV cache from one that has it. A part that no runner has is read at the home that rendezvous hashing
+ * names, so that instances that decide at the same time choose the same runner. Confined to one thread.
  */
 public final class PromptPlacement {
     private static final int MAXIMUM_PARTS = 8192;
     /** Time for which a part that a runner has read is expected to stay cached. */
     private static final long PART_LIFETIME_NANOSECONDS = 20_000_000_000L;
-    /** Part of the shared tokens that is expected to be read where only the home is presumed to have them. */
-    private static final double PRESUMED_MISS = 0.3;
+    /** Advantage of the home of a part that no runner has, so that it is read at one place. */
+    private static final double HOME_MILLISECONDS = 25;
     /** Cost of another availability zone: its round trip and the price of the bytes. */
     private static final double OTHER_ZONE_MILLISECONDS = 30;
     /** Cost of a target all of whose requests fail. */
     private static final double FAILURE_MILLISECONDS = 4000;
-    /** Time that a request of other instances at a runner stands for. */
-    private static final double MILLISECONDS_PER_PROMPT = 90;
     /** Time by which each running request slows down a prompt at a runner that also generates. */
     private static final double MILLISECONDS_PER_STREAM = 4;
 
+    /** Cost of reading at a runner that generates, because its streams and short prompts wait meanwhile. */
+    private static final double DECODE_MILLISECONDS = 60;
+    /** Part of the objective for which a prompt may wait that takes too long to read by itself. */
+    private static final double LONGEST_WAIT_PART = 0.3;
+
     private static final double JITTER_MILLISECONDS = 8;
 
     private final RunnerCosts costs;
@@ -50,6 +53,7 @@
      * @param target the runner
      * @param fetchFrom runner from which it fetches the shared parts
      * @param milliseconds estimated time to the first token
+     * @param waitMilliseconds part of it in which prompts before it are read
      * @param readMilliseconds part of it in which the runner reads
      * @param candidates runners that were compared
      */
@@ -57,8 +61,19 @@
             TargetState target,
             Optional<TargetState> fetchFrom,
             double milliseconds,
+            double waitMilliseconds,
             double readMilliseconds,
-            int candidates) {}
+            int candidates) {
+
+        /**
+         * Tells whether the wait keeps a request from its objective. A prompt that takes too long to read by itself may
+         * still wait for a part of the objective, so that large ones are served too.
+         */
+        public boolean waitsTooLong(double objectiveMilliseconds, double elapsedMilliseconds) {
+            double slack = objectiveMilliseconds - elapsedMilliseconds - (milliseconds - waitMilliseconds);
+            return waitMilliseconds > Math.max(slack, LONGEST_WAIT_PART * objectiveMilliseconds);
+        }
+    }
 
     public PromptPlacement(RunnerCosts costs, RandomGenerator random) {
         this.costs = costs;
@@ -98,15 +113,26 @@
             return Optional.empty();
         }
         return Optional.of(new Placement(
-                best.target(), best.fetchFrom(), best.milliseconds(), best.readMilliseconds(), candidates));
+                best.target(),
+                best.fetchFrom(),
+                best.milliseconds(),
+                best.waitMilliseconds(),
+                best.readMilliseconds(),
+                candidates));
+    }
+
+    /** Notes that a runner has got the KV cache of a prompt with the shared part from another one. */
+    public void handedOver(TargetState target, RequestDescription request, long now) {
+        request.sharedPart().ifPresent(part -> target.partRead(part.identifier(), now));
     }
 
-    /** Notes that a runner has read the prompt. */
-    public void read(TargetState target, RequestDescription request, long now) {
-        request.sharedPart().ifPresent(part -> {
-            target.partRead(part.identifier(), now);
-            holders.put(part.identifier(), new Holder(target, now));
-        });
+    /** Notes that this or another instance has a runner read a prompt with the shared part. */
+    public void placed(TargetState target, double readMilliseconds, String part, long now) {
+        target.promptQueued(readMilliseconds, now);
+        if (!part.isEmpty()) {
+            target.partRead(part, now);
+            holders.put(part, new Holder(target, now));
+        }
     }
 
     private Placement place(
@@ -120,24 +146,25 @@
         int own = request.promptTokens() - shared;
         String part = request.sharedPart().map(PromptPart::identifier).orElse("");
         boolean decode = target.entry().stage() != Stage.PREFILL;
-        boolean cached = target.hasPart(part, now - PART_LIFETIME_NANOSECONDS)
-                || home.filter(target::equals).isPresent();
-        Optional<TargetState> source =
-                cached ? Optional.empty() : holder.or(() -> home).filter(found -> !found.equals(target));
+        boolean cached = target.hasPart(part, now - PART_LIFETIME_NANOSECONDS);
+        Optional<TargetState> source = cached ? Optional.empty() : holder.filter(found -> !found.equals(target));
         double read = costs.readMilliseconds(own, shared, decode);
         double time = costs.firstMilliseconds();
-        if (!cached && source.isEmpty()) {
-            read += costs.readMilliseconds(shared, 0, decode);
-        } else if (!cached) {
+        if (source.isPresent()) {
             boolean otherZone = !source.get()
                     .entry()
                     .availabilityZone()
                     .equals(target.entry().availabilityZone());
-            double miss = holder.isPresent() ? 0 : PRESUMED_MISS;
-            read += miss * costs.readMilliseconds(shared, 0, decode);
             time += costs.fetchMilliseconds(shared, otherZone);
+        } else if (!cached) {
+            read += costs.readMilliseconds(shared, 0, decode);
+            time -= home.filter(target::equals).isPresent() ? HOME_MILLISECONDS : 0;
+        }
+        double wait = waitMilliseconds(target, decode, now);
+        time += read + wait;
+        if (decode) {
+            time += DECODE_MILLISECONDS;
         }
-        time += read + waitMilliseconds(target, decode, now);
         if (target.entry().stage() == Stage.PREFILL) {
             time += costs.fetchMilliseconds(request.promptTokens(), false);
         }
@@ -145,13 +172,12 @@
             time += OTHER_ZONE_MILLISECONDS;
         }
         time += FAILURE_MILLISECONDS * target.failureRate() + JITTER_MILLISECONDS * random.nextDouble();
-        return new Placement(target, source, time, read, 0);
+        return new Placement(target, source, time, wait, read, 0);
     }
 
     private static double waitMilliseconds(TargetState target, boolean decode, long now) {
-        double own = target.queuedReadMilliseconds();
-        double others = Math.max(0, target.requests(now) - target.inFlight());
-        return own + others * (decode ? MILLISECONDS_PER_STREAM : MILLISECONDS_PER_PROMPT);
+        double prompts = target.promptWaitMilliseconds(now);
+        return decode ? prompts + target.requests(now) * MILLISECONDS_PER_STREAM : prompts;
     }
 
     private Optional<TargetState> holder(String part, long now) {
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/RunnerCosts.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/RunnerCosts.java
@@ -7,6 +7,7 @@
  * @param tokensPerMillisecond prompt tokens that a runner of the prefill stage reads in a millisecond
  * @param millisecondsPerMillionPairs time of a million pairs of tokens
  * @param decodeFactor times as long that a runner of the decode stage takes to read
+ * @param perPromptMilliseconds time that each prompt takes beside its tokens
  * @param firstMilliseconds time from the end of reading to the first token
  * @param fetchMillisecondsPerToken time to fetch the KV cache of a token from a runner in the same availability zone
  * @param handOverMilliseconds time to hand a KV cache over beside its transfer
@@ -15,19 +16,20 @@
         double tokensPerMillisecond,
         double millisecondsPerMillionPairs,
         double decodeFactor,
+        double perPromptMilliseconds,
         double firstMilliseconds,
         double fetchMillisecondsPerToken,
         double handOverMilliseconds) {
 
-    /** Returns the figures of the engines' data sheet. */
+    /** Returns the figures of the engines' data sheet, with the reading slowed by a sixth as seen in the request log. */
     public static RunnerCosts defaults() {
-        return new RunnerCosts(49.6, 0.368, 2, 16, 0.0009, 8);
+        return new RunnerCosts(42, 0.43, 2, 12, 16, 0.0009, 8);
     }
 
     /** Returns the time to read tokens that follow others. */
     public double readMilliseconds(int tokens, int tokensBefore, boolean decodeStage) {
         double pairs = (double) tokens * tokensBefore + (double) tokens * tokens / 2;
-        double time = tokens / tokensPerMillisecond + pairs / 1e6 * millisecondsPerMillionPairs;
+        double time = perPromptMilliseconds + tokens / tokensPerMillisecond + pairs / 1e6 * millisecondsPerMillionPairs;
         return decodeStage ? time * decodeFactor : time;
     }
 
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetState.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetState.java
@@ -17,6 +17,7 @@
     private static final double FAILURE_WEIGHT = 0.15;
 
     private static final int MAXIMUM_PARTS = 512;
+    private static final double NANOSECONDS_PER_MILLISECOND = 1e6;
 
     private TargetEntry entry;
     private int inFlight;
@@ -25,10 +26,11 @@
     private long reportedAt = Long.MIN_VALUE / 2;
     private long lastAnswerAt = Long.MIN_VALUE / 2;
     private int consecutiveFailures;
+    private int consecutiveRefusals;
     private double failureRate;
     private long pausedUntil = Long.MIN_VALUE / 2;
     private boolean trialUnderWay;
-    private double queuedReadMilliseconds;
+    private long readingUntil = Long.MIN_VALUE / 2;
     /** Time of the last read by prompt part, oldest first. */
     private final Map<String, Long> parts = new LinkedHashMap<>(16, 0.75f, true) {
         @Override
@@ -60,19 +62,18 @@
 
     // Events
 
-    /** Notes a request sent to the target with the time that it takes to read its prompt. */
-    public void sent(double readMilliseconds) {
+    /** Notes a request sent to the target. */
+    public void sent() {
         inFlight++;
         sentSinceReport++;
-        queuedReadMilliseconds += readMilliseconds;
         if (consecutiveFailures > 0) {
             trialUnderWay = true;
         }
     }
 
-    /** Notes that the target has read the prompt of a request or gave it up. */
-    public void promptRead(double readMilliseconds) {
-        queuedReadMilliseconds = Math.max(0, queuedReadMilliseconds - readMilliseconds);
+    /** Notes that this or another instance sent a prompt that takes the time to read after those before it. */
+    public void promptQueued(double readMilliseconds, long now) {
+        readingUntil = Math.max(now, readingUntil) + (long) (readMilliseconds * NANOSECONDS_PER_MILLISECOND);
     }
 
     /** Notes the end of a request. */
@@ -88,6 +89,7 @@
     /** Notes a good answer. */
     public void succeeded() {
         consecutiveFailures = 0;
+        consecutiveRefusals = 0;
         trialUnderWay = false;
         failureRate *= 1 - FAILURE_WEIGHT;
     }
@@ -104,11 +106,25 @@
         pausedUntil = now + Math.min(LONGEST_PAUSE_NANOSECONDS, FIRST_PAUSE_NANOSECONDS << doublings);
     }
 
+    /** Notes that the target took no request although it answers, and pauses it for longer with each refusal in a row. */
+    public void refused(long now) {
+        if (now < pausedUntil) {
+            return;
+        }
+        consecutiveRefusals++;
+        int doublings = Math.min(3, consecutiveRefusals - 1);
+        pausedUntil = now + (FIRST_PAUSE_NANOSECONDS << doublings);
+    }
+
     /** Notes the requests that the target says it runs and holds in its queue. */
     public void reported(int requests, long now) {
         reportedRequests = requests;
         reportedAt = now;
         sentSinceReport = 0;
+        if (requests == 0) {
+            // Corrects estimates that were too high; a target without requests reads nothing.
+            readingUntil = Math.min(readingUntil, now);
+        }
     }
 
     /** Notes that the target has read the prompt part. */
@@ -141,9 +157,9 @@
         return inFlight;
     }
 
-    /** Returns the time that the target needs for the prompts of own requests that it has not read. */
-    public double queuedReadMilliseconds() {
-        return queuedReadMilliseconds;
+    /** Returns the time until the target has read the prompts that all instances are known to have sent. */
+    public double promptWaitMilliseconds(long now) {
+        return Math.max(0, readingUntil - now) / NANOSECONDS_PER_MILLISECOND;
     }
 
     /** Returns the time of the target's last answer. */
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ServeCommand.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ServeCommand.java
@@ -40,7 +40,7 @@
             VertxTimerService timers = new VertxTimerService(vertx, context);
             IngressDaemon daemon = new IngressDaemon(vertx, settings, factory.create(vertx, settings), timers);
             daemon.start().onFailure(cause -> {
-                LOG.errorf("event=start_failed cause=\"%s\"", cause.getMessage());
+                LOG.errorf("event=start_failed cause=\"%s\"", cause);
                 Runtime.getRuntime().halt(EXIT_FAILURE);
             });
             ShutdownHook.install(context, daemon::shutDown);
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/CallerExchange.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/CallerExchange.java
@@ -15,8 +15,8 @@
  * The caller's side of a request: its whole body, its answer, and whether it still waits. Confined to one event loop.
  */
 final class CallerExchange {
-    /** Time after which a refused caller may come back; about the time in which short overloads pass. */
-    private static final Duration RETRY_AFTER = Duration.ofMillis(400);
+    /** Time after which a refused caller may come back; half of the period of the traffic's short waves. */
+    private static final Duration RETRY_AFTER = Duration.ofMillis(1400);
 
     private final IngressContext context;
     private final HttpServerRequest request;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/ConfigurationPeers.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/ConfigurationPeers.java
@@ -1,5 +1,6 @@
 package io.fireflywalk.daemon.ingress;
 
+import io.fireflywalk.daemon.ingress.Coordination.Peer;
 import io.fireflywalk.services.time.TimerService;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -56,10 +57,13 @@
     }
 
     Future<HttpServer> listen(String host, int port) {
-        var unused = timers.every(PERIOD).subscribe(tick -> askIfCutOff());
         return vertx.createHttpServer().requestHandler(this::answer).listen(port, host);
     }
 
+    void start() {
+        var unused = timers.every(PERIOD).subscribe(tick -> askIfCutOff());
+    }
+
     private void answer(HttpServerRequest request) {
         String after = request.getParam(VERSION_PARAMETER, "0");
         boolean newer = request.path().equals(PATH)
@@ -73,18 +77,15 @@
     }
 
     private void askIfCutOff() {
-        List<String> peers = coordination.peers();
+        List<Peer> peers = coordination.peers();
         if (peers.isEmpty() || follower.silence().compareTo(STORE_SILENCE) < 0) {
             return;
         }
-        String peer = peers.get(random.nextInt(peers.size()));
-        if (peer.isEmpty()) {
-            return;
-        }
+        Peer peer = peers.get(random.nextInt(peers.size()));
         RequestOptions options = new RequestOptions()
                 .setMethod(HttpMethod.GET)
-                .setHost(IngressSettings.host(peer))
-                .setPort(IngressSettings.port(peer))
+                .setHost(peer.host())
+                .setPort(peer.port())
                 .setURI(PATH + "?" + VERSION_PARAMETER + "=" + configuration.version())
                 .setTimeout(CALL_TIMEOUT.toMillis())
                 .setIdleTimeout(CALL_TIMEOUT.toMillis());
@@ -92,10 +93,11 @@
                 .compose(request -> request.send())
                 .compose(response -> response.body().map(body -> {
                     if (response.statusCode() == STATUS_OK) {
-                        configuration.take(body, peer);
+                        configuration.take(body, peer.host());
                     }
                     return body;
                 }))
-                .onFailure(cause -> LOG.debugf("event=peer_silent peer=%s cause=\"%s\"", peer, cause.getMessage()));
+                .onFailure(
+                        cause -> LOG.debugf("event=peer_silent peer=%s cause=\"%s\"", peer.host(), cause.getMessage()));
     }
 }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/Coordination.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/Coordination.java
@@ -53,7 +53,10 @@
     private long notBefore;
 
     /** An instance and the time at which its row last changed. */
-    private record Member(String address, long seenAt) {}
+    private record Member(Peer peer, long seenAt) {}
+
+    /** Another instance. */
+    record Peer(String availabilityZone, String host, int port) {}
 
     /** Content and version of the lease row. */
     private record LeaseRow(String holder, long token, long version) {}
@@ -95,12 +98,12 @@
         return Math.max(1, members.size());
     }
 
-    /** Returns the addresses of other instances for configuration requests. */
-    List<String> peers() {
+    /** Returns the other instances. */
+    List<Peer> peers() {
         forgetSilentMembers();
         return members.entrySet().stream()
                 .filter(entry -> !entry.getKey().equals(settings.instance().name()))
-                .map(entry -> entry.getValue().address())
+                .map(entry -> entry.getValue().peer())
                 .toList();
     }
 
@@ -127,11 +130,12 @@
     // Members
 
     private void writeMember() {
-        String address = settings.instance().host() + ":" + settings.listen().peerPort();
         String value = Codec.json()
                 .mapper()
                 .createObjectNode()
-                .put("address", address)
+                .put("zone", settings.instance().availabilityZone())
+                .put("host", settings.instance().host())
+                .put("port", settings.listen().peerPort())
                 .put("time", timers.wallClockMilliseconds())
                 .toString();
         loops.add(store.commit(RowTransaction.empty()
@@ -171,9 +175,15 @@
         if (row.value().isEmpty()) {
             members.remove(name);
         } else if (members.containsKey(name) || members.size() < MAXIMUM_MEMBERS) {
-            String address =
-                    parse(row).map(node -> node.path("address").asText()).orElse("");
-            members.put(name, new Member(address, timers.monotonicNanoseconds()));
+            parse(row)
+                    .ifPresent(content -> members.put(
+                            name,
+                            new Member(
+                                    new Peer(
+                                            content.path("zone").asText(),
+                                            content.path("host").asText(),
+                                            content.path("port").asInt()),
+                                    timers.monotonicNanoseconds())));
         }
     }
 
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressCall.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressCall.java
@@ -6,7 +6,6 @@
 import io.fireflywalk.core.ingress.PromptPlacement.Placement;
 import io.fireflywalk.core.ingress.RequestDescription;
 import io.fireflywalk.core.ingress.RequestKind;
-import io.fireflywalk.core.ingress.RunnerCosts;
 import io.fireflywalk.core.ingress.TargetEntry.Stage;
 import io.fireflywalk.core.ingress.TargetPicker.Choice;
 import io.fireflywalk.core.ingress.TargetState;
@@ -120,7 +119,7 @@
             fail(refusals > 0 ? ErrorKind.TARGET_REFUSED : ErrorKind.NO_TARGET, "no target is available");
             return;
         }
-        send(choice.get().target(), readMilliseconds(), Optional.empty(), left);
+        send(choice.get().target(), Optional.empty(), left);
         decision = decision
                 + String.format(
                         " cost=%.3f candidates=%d",
@@ -140,8 +139,20 @@
 
     private void place(Placement placement, Duration left) {
         TargetState target = placement.target();
+        if (placement.waitsTooLong(
+                (double) route.objective().toMillis(), (double) elapsed().toMillis())) {
+            decision = String.format(
+                    "reader=%s estimate_ms=%.0f wait_ms=%.0f candidates=%d",
+                    target.entry().identifier(),
+                    placement.milliseconds(),
+                    placement.waitMilliseconds(),
+                    placement.candidates());
+            fail(ErrorKind.QUEUE_FULL, "the prompt would wait too long");
+            return;
+        }
         if (target.entry().stage() != Stage.PREFILL) {
-            send(target, placement.readMilliseconds(), placement.fetchFrom(), left);
+            context.notices().placed(placement, description);
+            send(target, placement.fetchFrom(), left);
             decision = decision
                     + String.format(
                             " estimate_ms=%.0f candidates=%d", placement.milliseconds(), placement.candidates());
@@ -158,15 +169,8 @@
                 .toList();
     }
 
-    private double readMilliseconds() {
-        return prompt.source().isPresent()
-                ? 0
-                : RunnerCosts.defaults().readMilliseconds(description.promptTokens(), 0, true);
-    }
-
-    private void send(TargetState target, double readMilliseconds, Optional<TargetState> fetchFrom, Duration left) {
-        TargetExchange exchange =
-                new TargetExchange(context, target, readMilliseconds, description.attemptIdentifier(), this);
+    private void send(TargetState target, Optional<TargetState> fetchFrom, Duration left) {
+        TargetExchange exchange = new TargetExchange(context, target, description.attemptIdentifier(), this);
         current = Optional.of(exchange);
         decision = String.format(
                 "target=%s target_zone=%s load=%.1f failure_rate=%.2f",
@@ -237,6 +241,8 @@
 
     private void refused(TargetExchange exchange, TargetAnswer answer, HttpClientResponse response) {
         drain(exchange, response, false);
+        current = Optional.empty();
+        exchange.target().refused(context.timers().monotonicNanoseconds());
         if (finished) {
             return;
         }
@@ -306,10 +312,9 @@
         if (finished || exchange.ended()) {
             return;
         }
-        exchange.promptRead();
-        if (!begun && description.promptTokens() >= LONG_PROMPT_TOKENS) {
+        if (!begun && prompt.source().isPresent()) {
             context.placement()
-                    .read(exchange.target(), description, context.timers().monotonicNanoseconds());
+                    .handedOver(exchange.target(), description, context.timers().monotonicNanoseconds());
         }
         noteBegun();
         Buffer whole = events.accept(chunk);
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressContext.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressContext.java
@@ -19,6 +19,7 @@
         TargetDirectory directory,
         TargetPicker picker,
         PromptPlacement placement,
+        PlacementNotices notices,
         RepeatBudgets repeats,
         UsageCounter usage,
         IngressMetrics metrics,
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
@@ -11,11 +11,13 @@
 import io.fireflywalk.services.time.TimerService;
 import io.reactivex.rxjava3.core.Completable;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.PoolOptions;
 import java.time.Duration;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.jboss.logging.Logger;
 
@@ -41,6 +43,7 @@
     /** Time kept of the grace period for the exit itself. */
     private static final Duration EXIT_MARGIN = Duration.ofMillis(500);
 
+    private static final Duration LISTEN_RETRY = Duration.ofMillis(250);
     private static final Duration DRAIN_CHECK = Duration.ofMillis(50);
 
     private final IngressSettings settings;
@@ -55,6 +58,7 @@
     private final ConfigurationPeers peers;
     private final UsageDuty usageDuty;
     private final ScalingDuty scalingDuty;
+    private final PlacementNotices notices;
     private final IngressServer server;
     private boolean draining;
 
@@ -77,8 +81,10 @@
                 timers,
                 Duration.ofSeconds(settings.bounds().usageWindowSeconds()).toMillis());
         this.usageDuty = new UsageDuty(settings, store, platform.duties(), usage, coordination, timers);
-        this.scalingDuty =
-                new ScalingDuty(settings, store, platform.duties(), coordination, configuration, directory, timers);
+        this.scalingDuty = new ScalingDuty(
+                settings, store, platform.duties(), platform.orders(), coordination, configuration, directory, timers);
+        PromptPlacement placement = new PromptPlacement(RunnerCosts.defaults(), random);
+        this.notices = new PlacementNotices(vertx, settings, timers, placement, directory, coordination);
         IngressContext context = new IngressContext(
                 settings,
                 timers,
@@ -93,7 +99,8 @@
                 configuration,
                 directory,
                 new TargetPicker(random),
-                new PromptPlacement(RunnerCosts.defaults(), random),
+                placement,
+                notices,
                 new RepeatBudgets(settings.bounds(), timers, coordination::instances),
                 usage,
                 new IngressMetrics(registry),
@@ -129,17 +136,21 @@
         coordination.start();
         usageDuty.start();
         scalingDuty.start();
+        peers.start();
         String readiness = settings.listen().readiness();
         String callers = settings.listen().callers();
         String host = settings.instance().host();
-        return server.listen(IngressSettings.host(callers), IngressSettings.port(callers))
-                .compose(ignored -> vertx.createHttpServer()
+        return listen(() -> server.listen(IngressSettings.host(callers), IngressSettings.port(callers)))
+                .compose(ignored -> listen(() -> vertx.createHttpServer()
                         .requestHandler(this::checkReadiness)
-                        .listen(IngressSettings.port(readiness), IngressSettings.host(readiness)))
-                .compose(ignored -> peers.listen(host, settings.listen().peerPort()))
-                .compose(ignored -> vertx.createHttpServer()
+                        .listen(IngressSettings.port(readiness), IngressSettings.host(readiness))))
+                .compose(ignored ->
+                        listen(() -> peers.listen(host, settings.listen().peerPort())))
+                .compose(ignored ->
+                        listen(() -> notices.listen(host, settings.listen().peerPort())))
+                .compose(ignored -> listen(() -> vertx.createHttpServer()
                         .requestHandler(request -> request.response().end(MetricsPage.render(registry)))
-                        .listen(settings.listen().metricsPort(), host))
+                        .listen(settings.listen().metricsPort(), host)))
                 .onSuccess(ignored -> LOG.infof(
                         "event=started instance=%s zone=%s callers=%s readiness=%s store=%s",
                         settings.instance().name(),
@@ -149,6 +160,19 @@
                         settings.store()));
     }
 
+    /** Tries again until the port is free, because a process that was just replaced may still hold it. */
+    private Future<?> listen(Supplier<Future<?>> listener) {
+        return listener.get().recover(cause -> {
+            LOG.warnf(
+                    cause,
+                    "event=listen_failed instance=%s",
+                    settings.instance().name());
+            Promise<Void> pause = Promise.promise();
+            var unused = timers.after(LISTEN_RETRY).subscribe(pause::complete);
+            return pause.future().compose(ignored -> listen(listener)).mapEmpty();
+        });
+    }
+
     private void checkReadiness(HttpServerRequest request) {
         boolean ready = !draining && configuration.current().isPresent() && targetFollower.loaded();
         request.response().setStatusCode(ready ? 200 : 503).end();
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressPlatform.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressPlatform.java
@@ -17,4 +17,7 @@
 
     /** Returns the client of the calls that one instance at a time makes. */
     DutyCalls duties();
+
+    /** Returns the client of the orders that runners take. */
+    TargetOrders orders();
 }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressServer.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressServer.java
@@ -27,26 +27,27 @@
 
     private final IngressContext context;
     private final IngressExchangeLimits limits;
-    private final HttpServer server;
+    private final Vertx vertx;
     private final Map<HttpConnection, Integer> connections = new HashMap<>();
     private int requestsInFlight;
 
     IngressServer(Vertx vertx, IngressContext context, IngressExchangeLimits limits) {
         this.context = context;
         this.limits = limits;
+        this.vertx = vertx;
+    }
+
+    Future<HttpServer> listen(String host, int port) {
         HttpServerOptions options = new HttpServerOptions()
                 .setMaxHeaderSize(MAXIMUM_HEAD_BYTES)
                 .setMaxInitialLineLength(MAXIMUM_LINE_BYTES)
                 .setIdleTimeout((int) IDLE_CONNECTION.toSeconds())
                 .setHttp2ClearTextEnabled(false)
                 .setHandle100ContinueAutomatically(true);
-        this.server = vertx.createHttpServer(options)
+        return vertx.createHttpServer(options)
                 .connectionHandler(this::connected)
-                .requestHandler(this::handle);
-    }
-
-    Future<HttpServer> listen(String host, int port) {
-        return server.listen(port, host);
+                .requestHandler(this::handle)
+                .listen(port, host);
     }
 
     /** Returns the number of requests whose answer has not ended. */
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/PromptReading.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/PromptReading.java
@@ -91,9 +91,9 @@
                 placement.candidates(),
                 placement.fetchFrom().map(source -> source.entry().identifier()).orElse("-"),
                 description.promptTokens());
-        TargetExchange exchange = new TargetExchange(
-                context, target, placement.readMilliseconds(), description.attemptIdentifier(), this);
+        TargetExchange exchange = new TargetExchange(context, target, description.attemptIdentifier(), this);
         current = Optional.of(exchange);
+        context.notices().placed(placement, description);
         exchange.start(caller.method(), caller.uri(), caller.headers(), caller.body(), head);
         silenceTimer = context.timers().after(SILENCE).subscribe(() -> {
             if (!exchange.ended() && target.lastAnswerAt() < exchange.startedAt()) {
@@ -116,6 +116,7 @@
                 read(exchange.target(), body);
             } else {
                 context.metrics().count("prompt_refusals");
+                exchange.target().refused(context.timers().monotonicNanoseconds());
                 proceed();
             }
         });
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/ScalingDuty.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/ScalingDuty.java
@@ -5,6 +5,8 @@
 import io.fireflywalk.core.ingress.FleetPlanner.ZoneCount;
 import io.fireflywalk.core.ingress.FleetPlanner.ZonePlan;
 import io.fireflywalk.core.ingress.ServiceProfile;
+import io.fireflywalk.core.ingress.TargetEntry.Stage;
+import io.fireflywalk.core.ingress.TargetState;
 import io.fireflywalk.daemon.ingress.DutyCalls.Holder;
 import io.fireflywalk.daemon.ingress.FleetStore.RowTransaction;
 import io.fireflywalk.daemon.ingress.FleetStore.Table;
@@ -34,18 +36,24 @@
     /** Time after which a zone that had no targets to give is asked again. */
     private static final Duration RETRY_REFUSED_AFTER = Duration.ofSeconds(4);
 
+    /** Time after which a stage order that has not shown its effect is sent again; a change takes about half of it. */
+    private static final Duration STAGE_REPEAT_AFTER = Duration.ofSeconds(7);
+
+    private static final int MAXIMUM_STAGE_ORDERS = 4096;
     private static final String SIZE_PREFIX = "size/";
 
     private final IngressSettings settings;
     private final FleetStore store;
     private final DutyCalls calls;
+    private final TargetOrders orders;
     private final Coordination coordination;
     private final ConfigurationHolder configuration;
     private final TargetDirectory directory;
     private final TimerService timers;
     private final long startedAt;
     private final Map<String, Integer> designSizes = new HashMap<>();
-    private final Map<Subject, Order> orders = new HashMap<>();
+    private final Map<Subject, Order> targetOrders = new HashMap<>();
+    private final Map<String, Long> stageOrders = new HashMap<>();
     private final CompositeDisposable loops = new CompositeDisposable();
 
     /** What one order is about. */
@@ -58,6 +66,7 @@
             IngressSettings settings,
             FleetStore store,
             DutyCalls calls,
+            TargetOrders orders,
             Coordination coordination,
             ConfigurationHolder configuration,
             TargetDirectory directory,
@@ -65,6 +74,7 @@
         this.settings = settings;
         this.store = store;
         this.calls = calls;
+        this.orders = orders;
         this.coordination = coordination;
         this.configuration = configuration;
         this.directory = directory;
@@ -111,6 +121,8 @@
             order(new Subject(service.name(), plan.availabilityZone(), false), plan.regular(), now.regular());
             order(new Subject(service.name(), plan.availabilityZone(), true), plan.preemptible(), now.preemptible());
         }
+        FleetPlanner.newReaders(directory.of(service.name()), timers.monotonicNanoseconds())
+                .forEach(this::orderStage);
     }
 
     /** Returns the stored size of the fleet, or stores the number of targets that are seen now. */
@@ -139,7 +151,7 @@
 
     private void order(Subject subject, int wanted, int present) {
         long now = timers.monotonicNanoseconds();
-        Optional<Order> last = Optional.ofNullable(orders.get(subject));
+        Optional<Order> last = Optional.ofNullable(targetOrders.get(subject));
         if (last.isPresent()) {
             Order order = last.get();
             Duration wait = order.refused() ? RETRY_REFUSED_AFTER : REPEAT_AFTER;
@@ -155,14 +167,14 @@
         if (token.isEmpty()) {
             return;
         }
-        orders.put(subject, new Order(wanted, now, true, false));
+        targetOrders.put(subject, new Order(wanted, now, true, false));
         Holder holder = new Holder(settings.instance().name(), token.get());
         loops.add(calls.orderTargets(
                         holder, subject.service(), subject.availabilityZone(), subject.preemptible(), wanted)
                 .subscribe(accepted -> answered(subject, wanted, present, now, accepted, token.get()), cause -> {
                     // The order may be carried out later; the next one states the wanted number again.
                     LOG.warnf("event=target_order_failed order=%s cause=\"%s\"", subject, cause.getMessage());
-                    orders.put(subject, new Order(wanted, now, false, true));
+                    targetOrders.put(subject, new Order(wanted, now, false, true));
                 }));
     }
 
@@ -170,6 +182,30 @@
         LOG.infof(
                 "event=targets_ordered service=%s zone=%s preemptible=%s count=%d present=%d token=%d accepted=%s",
                 subject.service(), subject.availabilityZone(), subject.preemptible(), wanted, present, token, accepted);
-        orders.put(subject, new Order(wanted, sentAt, false, !accepted));
+        targetOrders.put(subject, new Order(wanted, sentAt, false, !accepted));
+    }
+
+    // Stages
+
+    /** Orders a runner to read prompts. The order states its effect, so that a late or second one does no harm. */
+    private void orderStage(TargetState target) {
+        long now = timers.monotonicNanoseconds();
+        String identifier = target.entry().identifier();
+        Long sentAt = stageOrders.get(identifier);
+        Optional<Long> token = coordination.token();
+        if (token.isEmpty() || (sentAt != null && now - sentAt < STAGE_REPEAT_AFTER.toNanos())) {
+            return;
+        }
+        if (stageOrders.size() > MAXIMUM_STAGE_ORDERS) {
+            stageOrders.clear();
+        }
+        stageOrders.put(identifier, now);
+        loops.add(orders.changeStage(new Holder(settings.instance().name(), token.get()), target.entry(), Stage.PREFILL)
+                .subscribe(
+                        accepted -> LOG.infof(
+                                "event=stage_ordered target=%s zone=%s stage=%s token=%d accepted=%s",
+                                identifier, target.entry().availabilityZone(), Stage.PREFILL, token.get(), accepted),
+                        cause -> LOG.warnf(
+                                "event=stage_order_failed target=%s cause=\"%s\"", identifier, cause.getMessage())));
     }
 }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetDirectory.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetDirectory.java
@@ -10,6 +10,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
 import org.jboss.logging.Logger;
@@ -39,6 +40,11 @@
         return byService.getOrDefault(service, Map.of()).values();
     }
 
+    /** Returns the target of the identifier. */
+    Optional<TargetState> find(String identifier) {
+        return Optional.ofNullable(targets.get(identifier));
+    }
+
     /** Returns the number of targets. */
     int size() {
         return targets.size();
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetExchange.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetExchange.java
@@ -18,14 +18,12 @@
 final class TargetExchange {
     private final IngressContext context;
     private final TargetState target;
-    private final double readMilliseconds;
     private final String attemptIdentifier;
     private final Owner owner;
     private final long startedAt;
     private Optional<HttpClientRequest> request = Optional.empty();
     private Optional<HttpClientResponse> response = Optional.empty();
     private boolean sent;
-    private boolean promptRead;
     private boolean ended;
 
     /** What the owner of an exchange does at each step. */
@@ -38,15 +36,9 @@
         void failed(TargetExchange exchange, String cause);
     }
 
-    TargetExchange(
-            IngressContext context,
-            TargetState target,
-            double readMilliseconds,
-            String attemptIdentifier,
-            Owner owner) {
+    TargetExchange(IngressContext context, TargetState target, String attemptIdentifier, Owner owner) {
         this.context = context;
         this.target = target;
-        this.readMilliseconds = readMilliseconds;
         this.attemptIdentifier = attemptIdentifier;
         this.owner = owner;
         this.startedAt = context.timers().monotonicNanoseconds();
@@ -54,7 +46,7 @@
 
     /** Connects and sends the whole request. */
     void start(HttpMethod method, String uri, MultiMap callerHeaders, Buffer body, TargetRequest head) {
-        target.sent(readMilliseconds);
+        target.sent();
         RequestOptions options = new RequestOptions()
                 .setMethod(method)
                 .setHost(target.entry().host())
@@ -114,14 +106,6 @@
         owner.answered(this, answer, arrived);
     }
 
-    /** Notes that the target has read the prompt. */
-    void promptRead() {
-        if (!promptRead) {
-            promptRead = true;
-            target.promptRead(readMilliseconds);
-        }
-    }
-
     /** Ends the exchange after a complete answer. */
     void complete(boolean good) {
         if (end() && good) {
@@ -150,7 +134,6 @@
             return false;
         }
         ended = true;
-        promptRead();
         target.ended();
         return true;
     }
