Replace reclaimed preemptible runners by regular ones

Change: a zone that refuses preemptible runners gets regular ones for three quarters of its plan until it gives preemptible ones again.

--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/FleetPlanner.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/FleetPlanner.java
@@ -6,7 +6,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 
 /**
@@ -21,6 +21,9 @@
     /** Part of the runners that read prompts; reading takes about as much of the runners' time as generating. */
     private static final double READER_PART = 0.5;
 
+    /** Part of a zone's targets that regular ones replace while preemptible ones are not to be had. */
+    private static final double SUBSTITUTE_PART = 0.75;
+
     private FleetPlanner() {}
 
     /** Wanted targets of a service in an availability zone. */
@@ -53,8 +56,10 @@
      *
      * @param designSize targets of the fleet as the operator sized it
      * @param present targets that take requests now
+     * @param withoutPreemptible availability zones that have no preemptible targets to give now
      */
-    public static List<ZonePlan> plan(ScalingProfile scaling, int designSize, Map<String, ZoneCount> present) {
+    public static List<ZonePlan> plan(
+            ScalingProfile scaling, int designSize, Map<String, ZoneCount> present, Set<String> withoutPreemptible) {
         List<String> zones = new ArrayList<>(scaling.priceByZone().keySet());
         zones.sort(Comparator.comparing((String zone) -> scaling.priceByZone().get(zone))
                 .thenComparing(Comparator.naturalOrder()));
@@ -66,16 +71,19 @@
             int part = (int) Math.ceil((double) left / (zones.size() - index));
             int total = Math.max(scaling.minimumPerZone(), Math.min(scaling.maximumPerZone(), part));
             left -= total;
-            plans.add(zonePlan(scaling, zone, total, Optional.ofNullable(present.get(zone))));
+            ZoneCount now = present.getOrDefault(zone, new ZoneCount(0, 0));
+            plans.add(
+                    withoutPreemptible.contains(zone)
+                            ? substitutePlan(zone, total, now)
+                            : zonePlan(scaling, zone, total, now));
         }
         return plans;
     }
 
-    private static ZonePlan zonePlan(ScalingProfile scaling, String zone, int total, Optional<ZoneCount> present) {
+    private static ZonePlan zonePlan(ScalingProfile scaling, String zone, int total, ZoneCount now) {
         if (scaling.preemptiblePrice().isEmpty()) {
             return new ZonePlan(zone, total, 0);
         }
-        ZoneCount now = present.orElse(new ZoneCount(0, 0));
         // The bound of the zone holds for both kinds together, so the regular ones leave before the last ones come, as
         // soon as the preemptible ones can take their place.
         boolean replaceable = 2 * now.preemptible() >= total;
@@ -83,6 +91,13 @@
         return new ZonePlan(zone, regular, total - regular);
     }
 
+    /** Plans regular targets in place of preemptible ones that were reclaimed and are not to be had. */
+    private static ZonePlan substitutePlan(String zone, int total, ZoneCount now) {
+        int substitutes = (int) Math.ceil(total * SUBSTITUTE_PART) - now.preemptible();
+        int regular = Math.min(total - now.preemptible(), Math.max(now.regular(), substitutes));
+        return new ZonePlan(zone, regular, total - regular);
+    }
+
     /**
      * Returns runners of the decode stage that should change to the prefill stage, so that each availability zone has its
      * part of readers. Runners that have just joined or generate least come first.
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/ScalingDuty.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/ScalingDuty.java
@@ -20,6 +20,8 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.jboss.logging.Logger;
 
 /**
@@ -34,7 +36,7 @@
     /** Time after which an order that has not shown its effect is sent again; a target boots within it. */
     private static final Duration REPEAT_AFTER = Duration.ofSeconds(6);
     /** Time after which a zone that had no targets to give is asked again. */
-    private static final Duration RETRY_REFUSED_AFTER = Duration.ofSeconds(4);
+    private static final Duration RETRY_REFUSED_AFTER = Duration.ofSeconds(2);
 
     /** Time after which a stage order that has not shown its effect is sent again; a change takes about half of it. */
     private static final Duration STAGE_REPEAT_AFTER = Duration.ofSeconds(7);
@@ -116,7 +118,8 @@
             return;
         }
         Map<String, ZoneCount> present = FleetPlanner.count(directory.of(service.name()));
-        for (ZonePlan plan : FleetPlanner.plan(service.scaling().get(), size, present)) {
+        for (ZonePlan plan :
+                FleetPlanner.plan(service.scaling().get(), size, present, withoutPreemptible(service.name()))) {
             ZoneCount now = present.getOrDefault(plan.availabilityZone(), new ZoneCount(0, 0));
             order(new Subject(service.name(), plan.availabilityZone(), false), plan.regular(), now.regular());
             order(new Subject(service.name(), plan.availabilityZone(), true), plan.preemptible(), now.preemptible());
@@ -125,6 +128,15 @@
                 .forEach(this::orderStage);
     }
 
+    private Set<String> withoutPreemptible(String service) {
+        return targetOrders.entrySet().stream()
+                .filter(entry -> entry.getKey().service().equals(service)
+                        && entry.getKey().preemptible()
+                        && entry.getValue().refused())
+                .map(entry -> entry.getKey().availabilityZone())
+                .collect(Collectors.toSet());
+    }
+
     /** Returns the stored size of the fleet, or stores the number of targets that are seen now. */
     private Single<Integer> designSize(String service) {
         String key = SIZE_PREFIX + service;
@@ -167,7 +179,8 @@
         if (token.isEmpty()) {
             return;
         }
-        targetOrders.put(subject, new Order(wanted, now, true, false));
+        boolean refusedBefore = last.map(Order::refused).orElse(false);
+        targetOrders.put(subject, new Order(wanted, now, true, refusedBefore));
         Holder holder = new Holder(settings.instance().name(), token.get());
         loops.add(calls.orderTargets(
                         holder, subject.service(), subject.availabilityZone(), subject.preemptible(), wanted)
