--- /dev/null
+++ b/fireflywalk-core/src/test/java/io/fireflywalk/core/ingress/FleetPlannerTest.java
@@ -0,0 +1,69 @@
+package io.fireflywalk.core.ingress;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.fireflywalk.core.ingress.FleetPlanner.ZoneCount;
+import io.fireflywalk.core.ingress.FleetPlanner.ZonePlan;
+import io.fireflywalk.core.ingress.ServiceProfile.ScalingProfile;
+import io.fireflywalk.core.ingress.TargetEntry.Stage;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Guards against plans beyond a zone's bounds and against releasing runners before others take their place. */
+class FleetPlannerTest {
+    private static final ScalingProfile SCALING =
+            new ScalingProfile(1, 4, Optional.of(0.22), Map.of("zone-a", 1.0, "zone-b", 1.2));
+
+    @ParameterizedTest
+    @CsvSource({"2, 0, 2, 2", "2, 1, 2, 2", "2, 2, 0, 4", "0, 4, 0, 4", "1, 3, 0, 4"})
+    void regularRunnersLeaveWhenPreemptibleOnesCanTakeTheirPlace(
+            int regular, int preemptible, int wantedRegular, int wantedPreemptible) {
+        Map<String, ZoneCount> present = Map.of("zone-a", new ZoneCount(regular, preemptible));
+        ZonePlan plan = FleetPlanner.plan(SCALING, 4, present, Set.of()).get(0);
+        assertEquals(new ZonePlan("zone-a", wantedRegular, wantedPreemptible), plan);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0, 0, 3, 1", "0, 2, 1, 3", "2, 0, 3, 1", "0, 4, 0, 4"})
+    void regularRunnersReplaceReclaimedOnes(int regular, int preemptible, int wantedRegular, int wantedPreemptible) {
+        Map<String, ZoneCount> present = Map.of("zone-a", new ZoneCount(regular, preemptible));
+        ZonePlan plan = FleetPlanner.plan(SCALING, 4, present, Set.of("zone-a")).get(0);
+        assertEquals(new ZonePlan("zone-a", wantedRegular, wantedPreemptible), plan);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0, 1", "1, 1", "3, 3", "100, 4"})
+    void plansStayWithinTheBoundsOfTheZone(int designSize, int expected) {
+        for (ZonePlan plan : FleetPlanner.plan(SCALING, designSize, Map.of(), Set.of())) {
+            assertEquals(expected, plan.regular() + plan.preemptible());
+        }
+    }
+
+    @Test
+    void withoutPreemptibleTargetsAllAreRegular() {
+        ScalingProfile regularOnly = new ScalingProfile(1, 4, Optional.empty(), Map.of("zone-a", 1.0));
+        assertEquals(List.of(new ZonePlan("zone-a", 4, 0)), FleetPlanner.plan(regularOnly, 2, Map.of(), Set.of()));
+    }
+
+    @Test
+    void halfOfAZonesRunnersReadPromptsAndTheLeastBusyChange() {
+        TargetState busy = TargetFixture.target("busy", "zone-a", Stage.DECODE);
+        busy.sent();
+        TargetState idle = TargetFixture.target("idle", "zone-a", Stage.DECODE);
+        assertEquals(List.of(idle), FleetPlanner.newReaders(List.of(busy, idle), 0));
+        TargetState reader = TargetFixture.target("reader", "zone-a", Stage.PREFILL);
+        assertTrue(FleetPlanner.newReaders(List.of(busy, idle, reader), 0).isEmpty());
+    }
+
+    @Test
+    void aSingleRunnerOfAZoneKeepsGenerating() {
+        TargetState only = TargetFixture.target("only", "zone-a", Stage.DECODE);
+        assertTrue(FleetPlanner.newReaders(List.of(only), 0).isEmpty());
+    }
+}
--- /dev/null
+++ b/fireflywalk-core/src/test/java/io/fireflywalk/core/ingress/PromptPlacementTest.java
@@ -0,0 +1,75 @@
+package io.fireflywalk.core.ingress;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.fireflywalk.core.ingress.PromptPlacement.Placement;
+import io.fireflywalk.core.ingress.TargetEntry.Stage;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Guards against shared parts that are read again and against prompts behind a queue that another runner lacks. */
+class PromptPlacementTest {
+    private static final RequestDescription REQUEST = TargetFixture.prompt("part", 13_000, 3_700);
+
+    private final PromptPlacement placement = new PromptPlacement(RunnerCosts.defaults(), new Random(1));
+    private final TargetState first = TargetFixture.target("first", "zone-a", Stage.PREFILL);
+    private final TargetState second = TargetFixture.target("second", "zone-a", Stage.PREFILL);
+    private final TargetState generator = TargetFixture.target("generator", "zone-a", Stage.DECODE);
+    private final List<TargetState> targets = List.of(first, second, generator);
+
+    private Placement choose(List<TargetState> among) {
+        return placement.choose(among, Set.of(), 10, REQUEST, "zone-a", 0).orElseThrow();
+    }
+
+    @Test
+    void instancesChooseTheSameHomeForAPartThatNobodyHas() {
+        PromptPlacement other = new PromptPlacement(RunnerCosts.defaults(), new Random(2));
+        assertEquals(
+                choose(targets).target(),
+                other.choose(targets, Set.of(), 10, REQUEST, "zone-a", 0)
+                        .orElseThrow()
+                        .target());
+    }
+
+    @Test
+    void theRunnerThatHasThePartGetsThePrompt() {
+        placement.placed(second, 0, "part", 0);
+        Placement chosen = choose(targets);
+        assertEquals(second, chosen.target());
+        assertEquals(Optional.empty(), chosen.fetchFrom());
+    }
+
+    @Test
+    void anotherRunnerFetchesThePartWhenItsHolderIsBusy() {
+        placement.placed(second, 400, "part", 0);
+        Placement chosen = choose(targets);
+        assertEquals(first, chosen.target());
+        assertEquals(Optional.of(second), chosen.fetchFrom());
+        assertTrue(chosen.readMilliseconds() < RunnerCosts.defaults().readMilliseconds(13_000, 0, false));
+    }
+
+    @Test
+    void aReaderIsOfNoUseWithoutARunnerThatGenerates() {
+        assertTrue(placement
+                .choose(List.of(first, second), Set.of(), 10, REQUEST, "zone-a", 0)
+                .isEmpty());
+    }
+
+    @Test
+    void aRunnerThatGeneratesReadsWhenNoReaderIsThere() {
+        assertEquals(generator, choose(List.of(generator)).target());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"500, 400, false", "700, 600, true", "1500, 400, true", "1500, 100, false", "1500, 0, false"})
+    void refusesOnlyWhenTheWaitCostsTheObjective(double total, double wait, boolean expected) {
+        Placement estimate = new Placement(first, Optional.empty(), total, wait, total - wait, 1);
+        assertEquals(expected, estimate.waitsTooLong(600, 0));
+    }
+}
--- /dev/null
+++ b/fireflywalk-core/src/test/java/io/fireflywalk/core/ingress/TargetStateTest.java
@@ -0,0 +1,70 @@
+package io.fireflywalk.core.ingress;
+
+import static io.fireflywalk.core.ingress.TargetFixture.MILLISECOND;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.fireflywalk.core.ingress.TargetEntry.Stage;
+import org.junit.jupiter.api.Test;
+
+/** Guards against work for failing, refusing or leaving targets, and against estimates that outlive their cause. */
+class TargetStateTest {
+    private final TargetState target = TargetFixture.target("runner", "zone", Stage.DECODE);
+
+    @Test
+    void pausesAfterAFailureAndTakesOneTrialAtATime() {
+        target.failed(0);
+        assertFalse(target.available(100 * MILLISECOND));
+        assertTrue(target.available(400 * MILLISECOND));
+        target.sent();
+        assertFalse(target.available(400 * MILLISECOND));
+        target.succeeded();
+        assertTrue(target.available(400 * MILLISECOND));
+    }
+
+    @Test
+    void pausesLongerWithEachRefusalInARow() {
+        target.refused(0);
+        assertTrue(target.available(310 * MILLISECOND));
+        target.refused(310 * MILLISECOND);
+        assertFalse(target.available(700 * MILLISECOND));
+        target.succeeded();
+        target.refused(1000 * MILLISECOND);
+        assertTrue(target.available(1310 * MILLISECOND));
+    }
+
+    @Test
+    void aLeavingTargetTakesNothing() {
+        target.update(TargetFixture.entry("runner", "zone", Stage.DECODE, true, false));
+        assertFalse(target.available(0));
+    }
+
+    @Test
+    void aNewRunOfTheTargetHasNoCacheAndNoFailures() {
+        target.partRead("part", 1);
+        target.failed(1);
+        target.update(
+                new TargetEntry("runner", "service", "10.0.0.1", 80, "zone", 8, false, false, Stage.DECODE, 2, 1));
+        assertFalse(target.hasPart("part", 0));
+        assertTrue(target.available(2));
+    }
+
+    @Test
+    void aReportWithoutRequestsEndsTheEstimatedWait() {
+        target.promptQueued(500, 0);
+        target.promptQueued(200, 0);
+        assertEquals(700, target.promptWaitMilliseconds(0), 1);
+        assertEquals(600, target.promptWaitMilliseconds(100 * MILLISECOND), 1);
+        target.reported(0, 100 * MILLISECOND);
+        assertEquals(0, target.promptWaitMilliseconds(100 * MILLISECOND), 1);
+    }
+
+    @Test
+    void aReportCountsUntilItIsOld() {
+        target.reported(5, 0);
+        target.sent();
+        assertEquals(6, target.requests(500 * MILLISECOND));
+        assertEquals(1, target.requests(1500 * MILLISECOND));
+    }
+}
--- /dev/null
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/MemoryStore.java
@@ -0,0 +1,101 @@
+package io.fireflywalk.daemon.ingress;
+
+import io.fireflywalk.core.error.ErrorKind;
+import io.fireflywalk.core.error.FireflywalkException;
+import io.reactivex.rxjava3.core.Single;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/** Store in memory whose outages, lost answers and dropped history are set by tests. */
+final class MemoryStore implements FleetStore {
+    private final Map<Table, TreeMap<String, FleetRow>> tables = new HashMap<>();
+    private final List<Change> changes = new ArrayList<>();
+    private long version;
+    private long historyStart;
+    boolean down;
+    boolean loseAnswers;
+    int commits;
+
+    private record Change(Table table, FleetRow row) {}
+
+    @Override
+    public Single<RowPage> read(Table table, String from, String to, int limit) {
+        return Single.defer(() -> {
+            requireUp();
+            List<FleetRow> rows = tables.getOrDefault(table, new TreeMap<>()).tailMap(from).values().stream()
+                    .filter(row -> to.isEmpty() || row.key().compareTo(to) < 0)
+                    .limit(limit + 1L)
+                    .toList();
+            boolean more = rows.size() > limit;
+            return Single.just(new RowPage(more ? rows.subList(0, limit) : rows, more, version));
+        });
+    }
+
+    @Override
+    public Single<RowChanges> changes(Table table, long afterVersion, Duration wait) {
+        return Single.defer(() -> {
+            requireUp();
+            if (afterVersion < historyStart) {
+                return Single.just(new RowChanges(List.of(), afterVersion, true));
+            }
+            List<FleetRow> rows = changes.stream()
+                    .filter(change -> change.table() == table && change.row().version() > afterVersion)
+                    .map(Change::row)
+                    .toList();
+            return Single.just(new RowChanges(rows, version, false));
+        });
+    }
+
+    @Override
+    public Single<CommitResult> commit(RowTransaction transaction) {
+        return Single.defer(() -> {
+            requireUp();
+            commits++;
+            for (Expectation expectation : transaction.expectations()) {
+                FleetRow row = tables.getOrDefault(expectation.table(), new TreeMap<>())
+                        .get(expectation.key());
+                if ((row == null ? 0 : row.version()) != expectation.version()) {
+                    return Single.just(new CommitResult(false, 0));
+                }
+            }
+            version++;
+            transaction.writes().forEach(this::apply);
+            if (loseAnswers) {
+                return Single.error(
+                        new FireflywalkException(ErrorKind.STORE_OUTCOME_UNKNOWN, "answer lost", "memory store"));
+            }
+            return Single.just(new CommitResult(true, version));
+        });
+    }
+
+    private void apply(Write write) {
+        FleetRow row = new FleetRow(write.key(), version, write.value());
+        TreeMap<String, FleetRow> rows = tables.computeIfAbsent(write.table(), name -> new TreeMap<>());
+        if (write.value().isPresent()) {
+            rows.put(write.key(), row);
+        } else {
+            rows.remove(write.key());
+        }
+        changes.add(new Change(write.table(), row));
+    }
+
+    void dropHistory() {
+        historyStart = version + 1;
+        version++;
+    }
+
+    Optional<FleetRow> row(Table table, String key) {
+        return Optional.ofNullable(tables.getOrDefault(table, new TreeMap<>()).get(key));
+    }
+
+    private void requireUp() throws FireflywalkException {
+        if (down) {
+            throw new FireflywalkException(ErrorKind.STORE_UNAVAILABLE, "down", "memory store");
+        }
+    }
+}
