Report the windows before a start and all due windows at once

Change: a process begins four windows back, and goes on to the next due window as soon as one is reported.

--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/UsageDuty.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/UsageDuty.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
 import io.fireflywalk.daemon.ingress.DutyCalls.Holder;
 import io.fireflywalk.daemon.ingress.FleetStore.FleetRow;
@@ -19,6 +20,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.UUID;
 import org.jboss.logging.Logger;
 
 /**
@@ -34,7 +36,7 @@
     /** Time after the end of a window at which it is closed: late starts and slow store calls are in by then. */
     private static final Duration CLOSE_DELAY = Duration.ofMillis(3500);
     /** Windows after which a report is no longer tried. */
-    private static final int MAXIMUM_AGE_WINDOWS = 6;
+    private static final int MAXIMUM_AGE_WINDOWS = 4;
 
     private static final int PAGE_ROWS = 500;
 
@@ -45,6 +47,9 @@
     private final Coordination coordination;
     private final TimerService timers;
     private final long windowMilliseconds;
+    /** Distinguishes the rows of two runs of an instance within one window. */
+    private final String run = UUID.randomUUID().toString();
+
     private final CompositeDisposable loops = new CompositeDisposable();
     private boolean storing;
     private boolean reporting;
@@ -65,7 +70,8 @@
         this.timers = timers;
         this.windowMilliseconds =
                 Duration.ofSeconds(settings.bounds().usageWindowSeconds()).toMillis();
-        this.reportedThrough = counter.currentWindow() - 1;
+        // Windows from before the start may be unreported, because a whole fleet may have ended with them open.
+        this.reportedThrough = counter.currentWindow() - 1 - MAXIMUM_AGE_WINDOWS;
     }
 
     void start() {
@@ -110,16 +116,12 @@
             window.getValue().forEach(counts::put);
             transaction = transaction.writing(
                     Table.USAGE,
-                    windowKey(window.getKey()) + settings.instance().name() + "/" + startedAt,
+                    windowKey(window.getKey()) + settings.instance().name() + "/" + run,
                     Buffer.buffer(counts.toString()));
         }
         return store.commit(transaction).ignoreElement();
     }
 
-    /** Distinguishes the rows of two runs of an instance within one window. */
-    private final long startedAt =
-            java.util.concurrent.ThreadLocalRandom.current().nextLong(Long.MAX_VALUE);
-
     private static String windowKey(long window) {
         return String.format(Locale.ROOT, "%016d/", window);
     }
@@ -141,6 +143,9 @@
                         () -> {
                             reporting = false;
                             reportedThrough = Math.max(reportedThrough, next);
+                            // After a takeover several windows are due; waiting for a tick each makes the last ones
+                            // late.
+                            report();
                         },
                         cause -> {
                             reporting = false;
@@ -152,8 +157,8 @@
         return frozenFigures(window).flatMapCompletable(figures -> {
             var token = coordination.token();
             if (token.isEmpty()) {
-                return Completable.error(new FireflywalkException(
-                        io.fireflywalk.core.error.ErrorKind.AUTHORITY_LOST, "the lease ended", "usage report"));
+                return Completable.error(
+                        new FireflywalkException(ErrorKind.AUTHORITY_LOST, "the lease ended", "usage report"));
             }
             return calls.reportUsage(new Holder(settings.instance().name(), token.get()), window, figures)
                     .doOnSuccess(accepted -> {
@@ -184,7 +189,7 @@
                         .flatMap(result -> result.committed()
                                 ? Single.just(figures)
                                 : Single.error(new FireflywalkException(
-                                        io.fireflywalk.core.error.ErrorKind.STORE_UNAVAILABLE,
+                                        ErrorKind.STORE_UNAVAILABLE,
                                         "another instance stored the figures",
                                         "usage report")));
             });
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/UsageDutyTest.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/UsageDutyTest.java
@@ -100,4 +100,30 @@
         pass(20_000);
         assertEquals(Set.of(Map.of("account", 1L)), reported.get(2L));
     }
+
+    @Test
+    void aFleetThatStartedAgainReportsTheWindowsThatTheLastOneLeftOpen() {
+        Instance before = start(1).get(0);
+        pass(10_100);
+        before.counter.requestBegan("account");
+        before.duty.stop().test().assertComplete();
+        before.coordination.stop();
+        pass(4_000);
+        start(2);
+        pass(9_000);
+        assertEquals(Set.of(Map.of("account", 1L)), reported.get(2L));
+    }
+
+    @Test
+    void aTakeoverReportsAllDueWindowsAtOnce() {
+        List<Instance> instances = start(2);
+        pass(10_100);
+        store.down = true;
+        pass(12_000);
+        store.down = false;
+        reported.clear();
+        pass(6_500);
+        assertTrue(reported.size() >= 3, reported.keySet().toString());
+        assertEquals(2, instances.size());
+    }
 }
