Notice silent connections to the store in half a second

An instance whose poll of the targets meets a silent connection waited 1,200 ms for it, up to 600 ms of backoff, and could meet the next silent connection of the pool.

Change: the first call of a follower has 450 ms; after a failure the next call follows at once, on a connection of its own, with twice the time, so that a slow store still answers.

--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/FleetStore.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/FleetStore.java
@@ -13,11 +13,19 @@
  */
 public interface FleetStore {
 
+    /** Usual limit of a call; answers take a few milliseconds, those of a slow store some hundred. */
+    Duration USUAL_ANSWER = Duration.ofMillis(1200);
+
     /** Reads rows whose key is at or after {@code from} and before {@code to}; an empty {@code to} is no bound. */
-    Single<RowPage> read(Table table, String from, String to, int limit);
+    Single<RowPage> read(Table table, String from, String to, int limit, CallLimit callLimit);
+
+    /** Reads rows within the usual limit of a call. */
+    default Single<RowPage> read(Table table, String from, String to, int limit) {
+        return read(table, from, to, limit, new CallLimit(USUAL_ANSWER, false));
+    }
 
     /** Waits for rows that changed after the version; emits an empty list when the wait ends without a change. */
-    Single<RowChanges> changes(Table table, long afterVersion, Duration wait);
+    Single<RowChanges> changes(Table table, long afterVersion, Duration wait, CallLimit limit);
 
     /** Applies all writes if all conditions hold. */
     Single<CommitResult> commit(RowTransaction transaction);
@@ -38,6 +46,14 @@
         REPORT
     }
 
+    /**
+     * Limit of a call.
+     *
+     * @param answer time within which the answer must come, beside the wait for changes
+     * @param freshConnection true if the call must not use a connection that was opened before
+     */
+    record CallLimit(Duration answer, boolean freshConnection) {}
+
     /** A row; the value is empty if the row was removed. */
     record FleetRow(String key, long version, Optional<Buffer> value) {}
 
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TableFollower.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TableFollower.java
@@ -1,5 +1,6 @@
 package io.fireflywalk.daemon.ingress;
 
+import io.fireflywalk.daemon.ingress.FleetStore.CallLimit;
 import io.fireflywalk.daemon.ingress.FleetStore.FleetRow;
 import io.fireflywalk.daemon.ingress.FleetStore.RowChanges;
 import io.fireflywalk.daemon.ingress.FleetStore.Table;
@@ -20,6 +21,9 @@
 final class TableFollower {
     private static final Logger LOG = Logger.getLogger(TableFollower.class);
     private static final int PAGE_ROWS = 500;
+    private static final Duration FIRST_ANSWER = Duration.ofMillis(450);
+    private static final Duration FIRST_RETRY = Duration.ofMillis(10);
+    private static final int MAXIMUM_DOUBLINGS = 4;
     private static final Duration FIRST_BACKOFF = Duration.ofMillis(100);
     /** Bounded well below the time within which a change must be in force. */
     private static final Duration LONGEST_BACKOFF = Duration.ofMillis(600);
@@ -116,13 +120,29 @@
             LOG.warnf("event=store_lost table=%s version=%d cause=\"%s\"", table, version, cause.getMessage());
         }
         failures++;
-        long longest = Math.min(LONGEST_BACKOFF.toMillis(), FIRST_BACKOFF.toMillis() << Math.min(4, failures));
+        if (failures == 1) {
+            loop = timers.after(FIRST_RETRY).subscribe(this::step);
+            return;
+        }
+        long longest =
+                Math.min(LONGEST_BACKOFF.toMillis(), FIRST_BACKOFF.toMillis() << Math.min(MAXIMUM_DOUBLINGS, failures));
         long delay = longest / 2 + random.nextLong(longest / 2 + 1);
         loop = timers.after(Duration.ofMillis(delay)).subscribe(this::step);
     }
 
+    /**
+     * The first call has little time, because a silent connection must be noticed well before a change has to be in
+     * force. After a failure the next ones have more, for a slow store, and use connections of their own, because all
+     * that were open may be silent.
+     */
+    private CallLimit limit() {
+        long answer = Math.min(
+                FleetStore.USUAL_ANSWER.toMillis(), FIRST_ANSWER.toMillis() << Math.min(MAXIMUM_DOUBLINGS, failures));
+        return new CallLimit(Duration.ofMillis(answer), failures > 0);
+    }
+
     private Completable readAll(String from, List<FleetRow> rows) {
-        return store.read(table, from, "", PAGE_ROWS).flatMapCompletable(page -> {
+        return store.read(table, from, "", PAGE_ROWS, limit()).flatMapCompletable(page -> {
             rows.addAll(page.rows());
             if (page.more() && !page.rows().isEmpty()) {
                 // The smallest key after the last one read.
@@ -135,7 +155,7 @@
     }
 
     private Completable follow() {
-        Single<RowChanges> changes = store.changes(table, version, wait);
+        Single<RowChanges> changes = store.changes(table, version, wait, limit());
         return changes.flatMapCompletable(found -> {
             if (found.historyLost()) {
                 LOG.infof("event=store_history_lost table=%s version=%d", table, version);
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/CoordinationTest.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/CoordinationTest.java
@@ -20,7 +20,7 @@
 /** Guards against two holders of the duties, tokens that are used twice, and duties that nobody takes over. */
 class CoordinationTest {
     private final TestScheduler scheduler = new TestScheduler();
-    private final MemoryStore store = new MemoryStore();
+    private final MemoryStore store = new MemoryStore(scheduler);
 
     static IngressSettings settings(String name) {
         return new IngressSettings(
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/MemoryStore.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/MemoryStore.java
@@ -2,6 +2,7 @@
 
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
+import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.core.Single;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -10,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
 
 /** Store in memory whose outages, lost answers and dropped history are set by tests. */
 final class MemoryStore implements FleetStore {
@@ -20,11 +22,20 @@
     boolean down;
     boolean loseAnswers;
     int commits;
+    /** Open connections never answer; new ones do. */
+    boolean silentConnections;
+
+    final List<CallLimit> limits = new ArrayList<>();
+    private final Scheduler scheduler;
+
+    MemoryStore(Scheduler scheduler) {
+        this.scheduler = scheduler;
+    }
 
     private record Change(Table table, FleetRow row) {}
 
     @Override
-    public Single<RowPage> read(Table table, String from, String to, int limit) {
+    public Single<RowPage> read(Table table, String from, String to, int limit, CallLimit callLimit) {
         return Single.defer(() -> {
             requireUp();
             List<FleetRow> rows = tables.getOrDefault(table, new TreeMap<>()).tailMap(from).values().stream()
@@ -37,9 +48,13 @@
     }
 
     @Override
-    public Single<RowChanges> changes(Table table, long afterVersion, Duration wait) {
+    public Single<RowChanges> changes(Table table, long afterVersion, Duration wait, CallLimit limit) {
         return Single.defer(() -> {
             requireUp();
+            limits.add(limit);
+            if (silentConnections && !limit.freshConnection()) {
+                return Single.<RowChanges>never().timeout(limit.answer().toMillis(), TimeUnit.MILLISECONDS, scheduler);
+            }
             if (afterVersion < historyStart) {
                 return Single.just(new RowChanges(List.of(), afterVersion, true));
             }
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/TableFollowerTest.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/TableFollowerTest.java
@@ -19,7 +19,7 @@
 /** Guards against changes that are missed while the store is away or has dropped its history. */
 class TableFollowerTest {
     private final TestScheduler scheduler = new TestScheduler();
-    private final MemoryStore store = new MemoryStore();
+    private final MemoryStore store = new MemoryStore(scheduler);
     private final List<String> seen = new ArrayList<>();
     private final TableFollower follower = new TableFollower(
             store,
@@ -92,4 +92,14 @@
         assertEquals(1, seen.size());
         assertTrue(seen.get(0).endsWith("row-1199]"));
     }
+
+    @Test
+    void aSilentConnectionDelaysAChangeByLessThanASecond() {
+        follower.start();
+        pass(150);
+        store.silentConnections = true;
+        put("a");
+        pass(900);
+        assertEquals(List.of("all []", "changed [a]"), seen);
+    }
 }
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/UsageDutyTest.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/UsageDutyTest.java
@@ -22,7 +22,7 @@
 class UsageDutyTest {
     private final TestScheduler scheduler = new TestScheduler();
     private final TimerService timers = new SchedulerTimerService(scheduler);
-    private final MemoryStore store = new MemoryStore();
+    private final MemoryStore store = new MemoryStore(scheduler);
     private final Map<Long, Set<Map<String, Long>>> reported = new HashMap<>();
     private boolean reportsFail;
 
