--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressCall.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressCall.java
@@ -56,6 +56,9 @@
     private Disposable silenceTimer = Disposable.disposed();
     private int mayHaveRun;
     private int refusals;
+    /** True if the budget has been charged for the repeat of an exchange that is about to be given up. */
+    private boolean repeatTaken;
+
     private boolean begun;
     private boolean streaming;
     private boolean finished;
@@ -213,6 +216,7 @@
                 return;
             }
             if (mayRepeat(1)) {
+                repeatTaken = true;
                 exchange.fail("silent for " + wait.toMillis() + " ms");
             } else {
                 exchange.target().failed(context.timers().monotonicNanoseconds());
@@ -377,7 +381,8 @@
             return;
         }
         prompt.taken();
-        boolean repeat = mayRepeat(1);
+        boolean repeat = repeatTaken || mayRepeat(1);
+        repeatTaken = false;
         mayHaveRun++;
         if (repeat) {
             context.metrics().count("target_repeats");
@@ -438,7 +443,9 @@
         prompt.end();
         // A request that must run at most once goes on without its caller: cutting it off would leave its outcome open.
         boolean left = outcome.equals("caller_left");
-        if (!left || route.kind() != RequestKind.NON_IDEMPOTENT) {
+        if (left && route.kind() == RequestKind.NON_IDEMPOTENT) {
+            var unused = context.timers().after(remaining()).subscribe(() -> current.ifPresent(TargetExchange::cancel));
+        } else {
             current.ifPresent(TargetExchange::cancel);
         }
         long now = context.timers().monotonicNanoseconds();
