Drop targets whose entry is removed after a single failed call

A removed entry was kept for 2.2 s after the store had answered again, and one failed call counted as its absence; some runners leave by removing their entry.

Change: only two seconds of silence are an outage; a missing entry keeps its target for 1.4 s at most.

--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
@@ -69,7 +69,7 @@
         RandomGenerator random = RandomGenerator.getDefault();
         FleetStore store = platform.store();
         this.configuration = new ConfigurationHolder(platform.rows());
-        this.directory = new TargetDirectory(platform.rows(), this::sinceTargetRecovery);
+        this.directory = new TargetDirectory(platform.rows(), timers, this::sinceTargetRecovery);
         this.configurationFollower = new TableFollower(
                 store, Table.CONFIGURATION, timers, random, CONFIGURATION_PAUSE, CONFIGURATION_WAIT, configuration);
         this.targetFollower =
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TableFollower.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TableFollower.java
@@ -21,6 +21,9 @@
 final class TableFollower {
     private static final Logger LOG = Logger.getLogger(TableFollower.class);
     private static final int PAGE_ROWS = 500;
+    /** Single calls that fail are no outage: entries of live targets lapse after three heartbeats, not before. */
+    private static final Duration SHORTEST_OUTAGE = Duration.ofSeconds(2);
+
     private static final Duration FIRST_ANSWER = Duration.ofMillis(450);
     private static final Duration FIRST_RETRY = Duration.ofMillis(10);
     private static final int MAXIMUM_DOUBLINGS = 4;
@@ -94,9 +97,11 @@
         return Duration.ofNanos(timers.monotonicNanoseconds() - lastSuccessAt);
     }
 
-    /** Returns the time since the store last answered after a failure, or nothing while it fails. */
+    /** Returns the time since the store answered again after an outage, or nothing during one. */
     Duration sinceRecovery() {
-        return failures > 0 ? Duration.ZERO : Duration.ofNanos(timers.monotonicNanoseconds() - recoveredAt);
+        return silence().compareTo(SHORTEST_OUTAGE) > 0
+                ? Duration.ZERO
+                : Duration.ofNanos(timers.monotonicNanoseconds() - recoveredAt);
     }
 
     private void step() {
@@ -106,12 +111,14 @@
 
     private void succeeded() {
         long now = timers.monotonicNanoseconds();
-        lastSuccessAt = now;
         if (failures > 0) {
             LOG.infof("event=store_regained table=%s version=%d failures=%d", table, version, failures);
-            recoveredAt = now;
+            if (now - lastSuccessAt > SHORTEST_OUTAGE.toNanos()) {
+                recoveredAt = now;
+            }
             failures = 0;
         }
+        lastSuccessAt = now;
         loop = timers.after(pause).subscribe(this::step);
     }
 
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetDirectory.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetDirectory.java
@@ -4,6 +4,7 @@
 import io.fireflywalk.core.ingress.TargetEntry;
 import io.fireflywalk.core.ingress.TargetState;
 import io.fireflywalk.daemon.ingress.FleetStore.FleetRow;
+import io.fireflywalk.services.time.TimerService;
 import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
@@ -21,22 +22,29 @@
  */
 final class TargetDirectory implements TableFollower.Listener {
     private static final Logger LOG = Logger.getLogger(TargetDirectory.class);
-    /** Live targets are back in the store within two seconds of its return. */
-    private static final Duration RETURN_GRACE = Duration.ofMillis(2200);
+    /**
+     * Live targets are back in the store about two seconds after its return. A lapsed entry may also be that of a target
+     * that leaves, which must get nothing after two seconds; the rest of them is for the poll.
+     */
+    private static final Duration RETURN_GRACE = Duration.ofMillis(1400);
 
     private final RowDecoder decoder;
+    private final TimerService timers;
     private final Supplier<Duration> sinceStoreRecovery;
     private final Map<String, TargetState> targets = new HashMap<>();
     private final Map<String, Map<String, TargetState>> byService = new HashMap<>();
-    private final Set<String> missing = new HashSet<>();
+    /** Time since which an entry is missing, by target. */
+    private final Map<String, Long> missing = new HashMap<>();
 
-    TargetDirectory(RowDecoder decoder, Supplier<Duration> sinceStoreRecovery) {
+    TargetDirectory(RowDecoder decoder, TimerService timers, Supplier<Duration> sinceStoreRecovery) {
         this.decoder = decoder;
+        this.timers = timers;
         this.sinceStoreRecovery = sinceStoreRecovery;
     }
 
     /** Returns the targets of a service, leaving ones included. */
     Collection<TargetState> of(String service) {
+        removeMissing();
         return byService.getOrDefault(service, Map.of()).values();
     }
 
@@ -71,9 +79,16 @@
     }
 
     /** Removes targets whose entries did not come back after the store did. */
-    void removeMissing() {
-        if (!missing.isEmpty() && sinceStoreRecovery.get().compareTo(RETURN_GRACE) > 0) {
-            List.copyOf(missing).forEach(this::remove);
+    private void removeMissing() {
+        if (missing.isEmpty()) {
+            return;
+        }
+        boolean recovered = sinceStoreRecovery.get().compareTo(RETURN_GRACE) > 0;
+        long now = timers.monotonicNanoseconds();
+        for (Map.Entry<String, Long> entry : List.copyOf(missing.entrySet())) {
+            if (recovered || now - entry.getValue() > RETURN_GRACE.toNanos()) {
+                remove(entry.getKey());
+            }
         }
     }
 
@@ -111,7 +126,7 @@
         if (!targets.containsKey(identifier)) {
             return;
         }
-        missing.add(identifier);
+        missing.putIfAbsent(identifier, timers.monotonicNanoseconds());
         removeMissing();
     }
 
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/TableFollowerTest.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/TableFollowerTest.java
@@ -102,4 +102,15 @@
         pass(900);
         assertEquals(List.of("all []", "changed [a]"), seen);
     }
+
+    @Test
+    void aCallThatFailsIsNoOutage() {
+        follower.start();
+        pass(5000);
+        store.down = true;
+        pass(300);
+        store.down = false;
+        pass(300);
+        assertTrue(follower.sinceRecovery().compareTo(Duration.ofSeconds(5)) > 0);
+    }
 }
