Keep background loops running after an unexpected error

Cause: a loop that subscribes to the timer ends for good when its task throws, so one bad input could stop heartbeats, the lease, reports or scaling of an instance without ending the process.

Change: TimerService.repeat logs the error and goes on; all loops of the ingress use it.

--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/FleetCoordinator.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/FleetCoordinator.java
@@ -78,8 +78,8 @@
     void start() {
         watcher.start();
         writeHeartbeat();
-        subscriptions.add(timers.every(HEARTBEAT_INTERVAL).subscribe(tick -> writeHeartbeat()));
-        subscriptions.add(timers.every(RENEWAL_INTERVAL).subscribe(tick -> maintainLease()));
+        subscriptions.add(timers.repeat(HEARTBEAT_INTERVAL, "heartbeat", this::writeHeartbeat));
+        subscriptions.add(timers.repeat(RENEWAL_INTERVAL, "lease", this::maintainLease));
     }
 
     /** Stops and removes this instance's heartbeat row. */
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/FleetScaler.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/FleetScaler.java
@@ -85,7 +85,7 @@
     }
 
     void start() {
-        subscriptions.add(timers.every(EVALUATION_INTERVAL).subscribe(tick -> evaluate()));
+        subscriptions.add(timers.repeat(EVALUATION_INTERVAL, "scaling", this::evaluate));
     }
 
     void stop() {
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressUsageReporter.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressUsageReporter.java
@@ -80,7 +80,7 @@
     }
 
     void start() {
-        subscriptions.add(timers.every(TICK_INTERVAL).subscribe(tick -> {
+        subscriptions.add(timers.repeat(TICK_INTERVAL, "usage", () -> {
             long closed = (timers.wallClockMilliseconds() - STORE_DELAY.toMillis()) / windowMilliseconds;
             storeCounts(closed);
             report();
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/PeerConfigurationSync.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/PeerConfigurationSync.java
@@ -61,7 +61,7 @@
     }
 
     void start() {
-        var unused = timers.every(FETCH_INTERVAL).subscribe(tick -> fetchIfStoreSilent());
+        var unused = timers.repeat(FETCH_INTERVAL, "peer configuration", this::fetchIfStoreSilent);
     }
 
     private void serve(HttpServerRequest request) {
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/StoreRelay.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/StoreRelay.java
@@ -85,7 +85,7 @@
         messenger.onMessage(MESSAGE_TYPE, this::onMessage);
         watchers.forEach(
                 (table, watcher) -> watcher.useRelay(() -> reading, (after, rows) -> relayRows(table, after, rows)));
-        var unused = timers.every(NOTICE_INTERVAL).subscribe(tick -> tick());
+        var unused = timers.repeat(NOTICE_INTERVAL, "store relay", this::tick);
     }
 
     private void tick() {
