Learn prefill times per service and take the KV cache size from the settings

Cause: the latency model and the size of a KV cache hold for the engines of the first deployments.

Change: PrefillCalibration follows a low quantile of observed over estimated times; estimates for placing, refusing and notices use it. The part of the KV cache that is left for prompts comes from the configured capacity.

--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/KvCacheEstimate.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/KvCacheEstimate.java
@@ -3,6 +3,7 @@
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.function.IntSupplier;
 
 /**
  * Estimate of the prompt parts in a runner's KV cache, with eviction of the least recently used parts. Not thread-safe.
@@ -14,12 +15,12 @@
     /** Parts in order of last use, least recent first. */
     private final Map<String, CachedPart> parts = new LinkedHashMap<>();
 
-    private final int capacityTokens;
+    private final IntSupplier capacityTokens;
     private long tokens;
 
     private record CachedPart(int tokens, long availableAt) {}
 
-    KvCacheEstimate(int capacityTokens) {
+    KvCacheEstimate(IntSupplier capacityTokens) {
         this.capacityTokens = capacityTokens;
     }
 
@@ -33,7 +34,7 @@
         parts.put(part, cached == null ? new CachedPart(partTokens, availableAt) : cached);
         tokens += cached == null ? partTokens : 0;
         Iterator<CachedPart> eldest = parts.values().iterator();
-        while ((tokens > capacityTokens || parts.size() > MAXIMUM_PARTS) && eldest.hasNext()) {
+        while ((tokens > capacityTokens.getAsInt() || parts.size() > MAXIMUM_PARTS) && eldest.hasNext()) {
             tokens -= eldest.next().tokens();
             eldest.remove();
         }
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/PromptPlacement.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/PromptPlacement.java
@@ -5,7 +5,9 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
@@ -38,8 +40,12 @@
 
     private static final double MAXIMUM_JITTER_MILLISECONDS = 8;
 
+    /** Bounds the memory if a configuration names very many services. */
+    private static final int MAXIMUM_SERVICES = 1024;
+
     private final RunnerLatencyModel latencyModel;
     private final RandomGenerator random;
+    private final Map<String, PrefillCalibration> calibrations = new HashMap<>();
 
     /**
      * Runner chosen for the prefill of a prompt.
@@ -49,6 +55,7 @@
      * @param timeToFirstTokenMilliseconds estimated time to first token, with the penalties and bonuses of the runner
      * @param queueMilliseconds part of that time spent waiting for earlier prompts
      * @param prefillMilliseconds part of that time spent in prefill
+     * @param prefillFactor factor of the latency model's prefill time that has been learned for the service
      * @param candidates number of runners that were compared
      */
     public record Placement(
@@ -57,6 +64,7 @@
             double timeToFirstTokenMilliseconds,
             double queueMilliseconds,
             double prefillMilliseconds,
+            double prefillFactor,
             int candidates) {
 
         /**
@@ -82,6 +90,27 @@
         this.random = random;
     }
 
+    /** Records the observed time of a prefill, from which later estimates for the service are corrected. */
+    public void recordPrefillTime(Placement placement, double milliseconds) {
+        if (placement.queueMilliseconds() == 0 && placement.fetchFrom().isEmpty()) {
+            PrefillCalibration calibration =
+                    calibration(placement.target().entry().service());
+            calibration.observe(placement.prefillMilliseconds() / placement.prefillFactor(), milliseconds);
+        }
+    }
+
+    /** Returns the time that prefill takes at a service, as a multiple of the latency model's. */
+    public double prefillFactor(String service) {
+        return calibration(service).factor();
+    }
+
+    private PrefillCalibration calibration(String service) {
+        if (calibrations.size() >= MAXIMUM_SERVICES && !calibrations.containsKey(service)) {
+            calibrations.clear();
+        }
+        return calibrations.computeIfAbsent(service, name -> new PrefillCalibration());
+    }
+
     /** Chooses among the runners of all stages of a service. */
     public Optional<Placement> choose(
             Collection<TargetState> targets,
@@ -90,10 +119,10 @@
             PromptSummary prompt,
             String availabilityZone,
             long now) {
-        Optional<TargetState> home = home(targets, prompt.sharedPart());
         List<TargetState> holders = targets.stream()
                 .filter(target -> target.hasPart(prompt.sharedPart(), now) && target.available(now))
                 .toList();
+        Optional<TargetState> home = holders.isEmpty() ? home(targets, prompt.sharedPart()) : Optional.empty();
         boolean canDecode =
                 targets.stream().anyMatch(target -> target.entry().stage() != Stage.PREFILL && target.available(now));
         Placement best = null;
@@ -121,6 +150,7 @@
                 best.timeToFirstTokenMilliseconds(),
                 best.queueMilliseconds(),
                 best.prefillMilliseconds(),
+                best.prefillFactor(),
                 candidates));
     }
 
@@ -135,13 +165,15 @@
         boolean isDecodeRunner = target.entry().stage() != Stage.PREFILL;
         boolean cachedOrPending = target.hasOrExpectsPart(prompt.sharedPart());
         Optional<TargetState> source = cachedOrPending ? Optional.empty() : source(target, holders);
-        double prefillMilliseconds = latencyModel.prefillMilliseconds(prompt.ownTokens(), shared, isDecodeRunner);
+        double prefillFactor = prefillFactor(target.entry().service());
+        double prefillMilliseconds =
+                prefillFactor * latencyModel.prefillMilliseconds(prompt.ownTokens(), shared, isDecodeRunner);
         double firstTokenMilliseconds = latencyModel.firstTokenMilliseconds();
         if (source.isPresent()) {
             firstTokenMilliseconds +=
                     latencyModel.fetchMilliseconds(shared, !sameZone(target, source.get())) + COPY_PENALTY_MILLISECONDS;
         } else if (!cachedOrPending) {
-            prefillMilliseconds += latencyModel.prefillMilliseconds(shared, 0, isDecodeRunner);
+            prefillMilliseconds += prefillFactor * latencyModel.prefillMilliseconds(shared, 0, isDecodeRunner);
             firstTokenMilliseconds -= home.filter(target::equals).isPresent() ? HOME_BONUS_MILLISECONDS : 0;
         }
         double waitMilliseconds = waitMilliseconds(target, prompt.priority(), isDecodeRunner, now);
@@ -157,7 +189,8 @@
         }
         firstTokenMilliseconds +=
                 FAILURE_PENALTY_MILLISECONDS * target.failureRate() + MAXIMUM_JITTER_MILLISECONDS * random.nextDouble();
-        return new Placement(target, source, firstTokenMilliseconds, waitMilliseconds, prefillMilliseconds, 0);
+        return new Placement(
+                target, source, firstTokenMilliseconds, waitMilliseconds, prefillMilliseconds, prefillFactor, 0);
     }
 
     private static double waitMilliseconds(TargetState target, int priority, boolean isDecodeRunner, long now) {
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/ServiceProfile.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/ServiceProfile.java
@@ -20,7 +20,15 @@
      * @param slots maximum number of concurrent requests
      * @param kvCacheTokens capacity of the KV cache in tokens
      */
-    public record EngineProfile(int slots, int kvCacheTokens) {}
+    public record EngineProfile(int slots, int kvCacheTokens) {
+        /** Fraction of the KV cache that is left for prompts while requests run. */
+        private static final double PROMPT_CACHE_FRACTION = 0.76;
+
+        /** Returns the tokens of the KV cache that are available to prompts. */
+        public int promptCacheTokens() {
+            return (int) (PROMPT_CACHE_FRACTION * kvCacheTokens);
+        }
+    }
 
     /**
      * Limits and prices of targets that may be ordered.
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetState.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetState.java
@@ -1,5 +1,7 @@
 package io.fireflywalk.core.ingress;
 
+import java.util.function.IntSupplier;
+
 /**
  * State of a target as seen by this instance: the instance's requests in flight, the last reported load, recent
  * failures, and estimates of the prefill queue and the KV cache. Not thread-safe.
@@ -13,15 +15,10 @@
     /** Weight of the latest outcome in the moving average of failures. */
     private static final double FAILURE_WEIGHT = 0.15;
 
-    /**
-     * Tokens of the KV cache available to prompts; engines have at least 385,000, of which running requests use some.
-     */
-    private static final int PROMPT_KV_CACHE_TOKENS = 330_000;
-
     private static final double NANOSECONDS_PER_MILLISECOND = 1e6;
 
     private final PrefillQueue prefillQueue = new PrefillQueue();
-    private final KvCacheEstimate kvCache = new KvCacheEstimate(PROMPT_KV_CACHE_TOKENS);
+    private final KvCacheEstimate kvCache;
     private TargetEntry entry;
     private int inFlight;
     private int sentSinceReport;
@@ -34,8 +31,14 @@
     private long backoffUntil = Long.MIN_VALUE / 2;
     private boolean probeInFlight;
 
-    public TargetState(TargetEntry entry) {
+    /**
+     * Creates the state of a target.
+     *
+     * @param promptCacheTokens tokens of the target's KV cache that are available to prompts
+     */
+    public TargetState(TargetEntry entry, IntSupplier promptCacheTokens) {
         this.entry = entry;
+        this.kvCache = new KvCacheEstimate(promptCacheTokens);
     }
 
     /** Returns the latest registry entry of the target. */
--- a/fireflywalk-core/src/test/java/io/fireflywalk/core/ingress/KvCacheEstimateTest.java
+++ b/fireflywalk-core/src/test/java/io/fireflywalk/core/ingress/KvCacheEstimateTest.java
@@ -10,7 +10,7 @@
 
 /** Guards against parts that count as cached after their eviction. */
 class KvCacheEstimateTest {
-    private final KvCacheEstimate cache = new KvCacheEstimate(1000);
+    private final KvCacheEstimate cache = new KvCacheEstimate(() -> 1000);
 
     @ParameterizedTest
     @CsvSource({"600, true", "601, false"})
--- a/fireflywalk-core/src/test/java/io/fireflywalk/core/ingress/PromptPlacementTest.java
+++ b/fireflywalk-core/src/test/java/io/fireflywalk/core/ingress/PromptPlacementTest.java
@@ -82,7 +82,7 @@
     @ParameterizedTest
     @CsvSource({"500, 400, false", "700, 600, true", "1500, 400, true", "1500, 100, false", "1500, 0, false"})
     void refusesOnlyWhenTheWaitCausesTheMiss(double total, double wait, boolean expected) {
-        Placement estimate = new Placement(first, Optional.empty(), total, wait, total - wait, 1);
+        Placement estimate = new Placement(first, Optional.empty(), total, wait, total - wait, 1, 1);
         assertEquals(expected, estimate.waitMissesObjective(600, 0));
     }
 }
--- a/fireflywalk-core/src/test/java/io/fireflywalk/core/ingress/TargetFixture.java
+++ b/fireflywalk-core/src/test/java/io/fireflywalk/core/ingress/TargetFixture.java
@@ -12,7 +12,7 @@
     private TargetFixture() {}
 
     static TargetState target(String identifier, String zone, Stage stage) {
-        return new TargetState(entry(identifier, zone, stage, false, false));
+        return new TargetState(entry(identifier, zone, stage, false, false), () -> 330_000);
     }
 
     static TargetEntry entry(String identifier, String zone, Stage stage, boolean leaving, boolean preemptible) {
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
@@ -5,6 +5,7 @@
 import io.fireflywalk.core.ingress.PromptPlacement;
 import io.fireflywalk.core.ingress.RunnerLatencyModel;
 import io.fireflywalk.core.ingress.ServiceProfile;
+import io.fireflywalk.core.ingress.ServiceProfile.EngineProfile;
 import io.fireflywalk.core.ingress.TargetPicker;
 import io.fireflywalk.daemon.ingress.FleetStore.Table;
 import io.fireflywalk.daemon.operators.MetricsRenderer;
@@ -78,7 +79,8 @@
         RandomGenerator random = RandomGenerator.getDefault();
         FleetStore store = platform.store();
         this.configuration = new ConfigurationHolder(platform.rowDecoder());
-        this.directory = new TargetDirectory(platform.rowDecoder(), timers, this::timeSinceTargetTableRecovery);
+        this.directory = new TargetDirectory(
+                platform.rowDecoder(), timers, this::timeSinceTargetTableRecovery, this::promptCacheTokens);
         this.configurationWatcher = new TableWatcher(
                 store, Table.CONFIGURATION, timers, random, CONFIGURATION_POLL_INTERVAL, LONG_POLL_WAIT, configuration);
         boolean relayUsable = StoreRelay.usableWith(settings.bounds());
@@ -162,6 +164,15 @@
         return targetWatcher.timeSinceRecovery();
     }
 
+    private int promptCacheTokens(String service) {
+        return configuration
+                .current()
+                .flatMap(current -> current.service(service))
+                .flatMap(ServiceProfile::engine)
+                .map(EngineProfile::promptCacheTokens)
+                .orElse(0);
+    }
+
     private int requestsPerTarget(String service) {
         int connections = configuration
                 .current()
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RemotePrefill.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RemotePrefill.java
@@ -38,7 +38,7 @@
     private final Runnable continuation;
     private Optional<TargetExchange> current = Optional.empty();
     private Optional<CacheSource> cacheSource = Optional.empty();
-    private Optional<TargetState> prefillTarget = Optional.empty();
+    private Optional<Placement> placement = Optional.empty();
     private Disposable stallTimer = Disposable.disposed();
     private int attempts;
     private int cacheRejections;
@@ -82,7 +82,7 @@
     /** Returns the availability zone of the KV cache. */
     Optional<String> cacheZone() {
         return cacheSource.isPresent()
-                ? prefillTarget.map(target -> target.entry().availabilityZone())
+                ? placement.map(chosen -> chosen.target().entry().availabilityZone())
                 : Optional.empty();
     }
 
@@ -92,27 +92,27 @@
     }
 
     /** Sends the prompt to the runner of the placement. */
-    void start(Placement placement, TargetRequest requestHead) {
+    void start(Placement chosen, TargetRequest requestHead) {
         attempts++;
-        TargetState target = placement.target();
-        prefillTarget = Optional.of(target);
+        TargetState target = chosen.target();
+        placement = Optional.of(chosen);
         logFields = String.format(
                 "reader=%s reader_zone=%s reader_estimate_ms=%.0f reader_wait_ms=%.0f reader_candidates=%d fetch_from=%s"
                         + " tokens=%d shared_part=%s shared_tokens=%d",
                 target.entry().identifier(),
                 target.entry().availabilityZone(),
-                placement.timeToFirstTokenMilliseconds(),
-                placement.queueMilliseconds(),
-                placement.candidates(),
-                placement.fetchFrom().map(source -> source.entry().identifier()).orElse("-"),
+                chosen.timeToFirstTokenMilliseconds(),
+                chosen.queueMilliseconds(),
+                chosen.candidates(),
+                chosen.fetchFrom().map(source -> source.entry().identifier()).orElse("-"),
                 description.promptTokens(),
                 summary.sharedPart(),
                 summary.sharedTokens());
         TargetExchange exchange = new TargetExchange(context, target, description.attemptIdentifier(), this);
         current = Optional.of(exchange);
-        queuedAt = context.placementBroadcaster().recordPlacement(placement, summary);
+        queuedAt = context.placementBroadcaster().recordPlacement(chosen, summary);
         exchange.start(caller.method(), caller.uri(), caller.headers(), caller.body(), requestHead);
-        Duration timeout = placement.stallTimeout(STALL_TIMEOUT);
+        Duration timeout = chosen.stallTimeout(STALL_TIMEOUT);
         stallTimer = context.timers().after(timeout).subscribe(() -> {
             if (!exchange.ended() && target.lastResponseAt() < exchange.startedAt()) {
                 exchange.fail("silent for " + timeout.toMillis() + " ms");
@@ -137,6 +137,8 @@
         logFields = logFields + " read_ms=" + elapsed.toMillis() + " read_status=" + head.status();
         if (head.success()) {
             exchange.target().recordPrefillCompleted(summary, queuedAt, now);
+            placement.ifPresent(
+                    chosen -> context.promptPlacement().recordPrefillTime(chosen, (double) elapsed.toMillis()));
             onPrefilled(exchange.target(), body);
         } else {
             context.metrics().count("prompt_refusals");
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetDirectory.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetDirectory.java
@@ -14,6 +14,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
+import java.util.function.ToIntFunction;
 import org.jboss.logging.Logger;
 
 /**
@@ -32,15 +33,26 @@
     private final RowDecoder decoder;
     private final TimerService timers;
     private final Supplier<Duration> timeSinceStoreRecovery;
+    private final ToIntFunction<String> promptCacheTokens;
     private final Map<String, TargetState> targets = new HashMap<>();
     private final Map<String, Map<String, TargetState>> byService = new HashMap<>();
     /** Time at which the entry of a target was found missing, by target. */
     private final Map<String, Long> missingSince = new HashMap<>();
 
-    TargetDirectory(RowDecoder decoder, TimerService timers, Supplier<Duration> timeSinceStoreRecovery) {
+    /**
+     * Creates a directory.
+     *
+     * @param promptCacheTokens returns the tokens of KV cache that a target of a service has for prompts
+     */
+    TargetDirectory(
+            RowDecoder decoder,
+            TimerService timers,
+            Supplier<Duration> timeSinceStoreRecovery,
+            ToIntFunction<String> promptCacheTokens) {
         this.decoder = decoder;
         this.timers = timers;
         this.timeSinceStoreRecovery = timeSinceStoreRecovery;
+        this.promptCacheTokens = promptCacheTokens;
     }
 
     /** Returns the targets of a service, including those that are shutting down. */
@@ -107,7 +119,7 @@
     private void put(TargetEntry entry) {
         TargetState known = targets.get(entry.identifier());
         if (known == null) {
-            known = new TargetState(entry);
+            known = new TargetState(entry, () -> promptCacheTokens.applyAsInt(entry.service()));
             targets.put(entry.identifier(), known);
             log("target_added", entry);
         } else {
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/FleetScalerTest.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/FleetScalerTest.java
@@ -71,7 +71,8 @@
     private final TestScheduler scheduler = new TestScheduler();
     private final TimerService timers = new SchedulerTimerService(scheduler);
     private final InMemoryFleetStore store = new InMemoryFleetStore(scheduler);
-    private final TargetDirectory directory = new TargetDirectory(DECODER, timers, () -> Duration.ofMinutes(1));
+    private final TargetDirectory directory =
+            new TargetDirectory(DECODER, timers, () -> Duration.ofMinutes(1), service -> 1000);
     private final Set<String> zonesWithoutPreemptible = new HashSet<>();
     private final List<String> scalingCalls = new ArrayList<>();
 
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/TargetDirectoryTest.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/TargetDirectoryTest.java
@@ -39,8 +39,8 @@
 
     private final TestScheduler scheduler = new TestScheduler();
     private Duration timeSinceRecovery = Duration.ofMinutes(1);
-    private final TargetDirectory directory =
-            new TargetDirectory(DECODER, new SchedulerTimerService(scheduler), () -> timeSinceRecovery);
+    private final TargetDirectory directory = new TargetDirectory(
+            DECODER, new SchedulerTimerService(scheduler), () -> timeSinceRecovery, service -> 1000);
 
     private static FleetRow row(String key, Optional<Buffer> value) {
         return new FleetRow(key, 1, value);
