Notify all zones of placements through one forwarder each

Telling every peer would cost bytes between zones for each of them.

Change: receivers of other zones get a notice through one random instance of their zone (ZoneFanOut). Prefills under 50 ms are left out in large fleets.

--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
@@ -112,7 +112,7 @@
         PromptPlacement promptPlacement = new PromptPlacement(RunnerLatencyModel.defaults(), random);
         this.datagrams = new PeerDatagrams(vertx);
         PlacementBroadcaster placementBroadcaster =
-                new PlacementBroadcaster(datagrams, settings, timers, directory, coordinator);
+                new PlacementBroadcaster(datagrams, settings, timers, directory, coordinator, random);
         this.storeRelay = new StoreRelay(
                 settings,
                 datagrams,
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/PlacementBroadcaster.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/PlacementBroadcaster.java
@@ -5,9 +5,11 @@
 import io.fireflywalk.core.ingress.PromptPlacement.Placement;
 import io.fireflywalk.core.ingress.PromptSummary;
 import io.fireflywalk.core.ingress.TargetState;
+import io.fireflywalk.core.membership.ZoneFanOut;
 import io.fireflywalk.daemon.ingress.FleetCoordinator.Peer;
 import io.fireflywalk.services.time.TimerService;
 import java.util.List;
+import java.util.random.RandomGenerator;
 
 /**
  * Notifies other instances of each prompt that this one sends to a runner, so that their estimates of the runner's
@@ -16,26 +18,32 @@
  */
 final class PlacementBroadcaster {
     private static final String MESSAGE_TYPE = "placement";
-    /** From this number of peers on, only those in the runner's or this instance's availability zone are notified. */
-    private static final int ZONE_FILTER_MINIMUM_PEERS = 16;
+    private static final String FORWARD_FIELD = "forward";
+    /** From this number of peers on, one of each other availability zone forwards, and short prompts are left out. */
+    private static final int LARGE_FLEET_PEERS = 16;
+    /** Shorter prefills change neither a queue nor a cache so much that all instances of a large fleet need to know. */
+    private static final double MINIMUM_NOTIFIED_MILLISECONDS = 50;
 
     private final PeerMessenger messenger;
     private final IngressSettings settings;
     private final TimerService timers;
     private final TargetDirectory directory;
     private final FleetCoordinator coordinator;
+    private final RandomGenerator random;
 
     PlacementBroadcaster(
             PeerMessenger messenger,
             IngressSettings settings,
             TimerService timers,
             TargetDirectory directory,
-            FleetCoordinator coordinator) {
+            FleetCoordinator coordinator,
+            RandomGenerator random) {
         this.messenger = messenger;
         this.settings = settings;
         this.timers = timers;
         this.directory = directory;
         this.coordinator = coordinator;
+        this.random = random;
         messenger.onMessage(MESSAGE_TYPE, this::onNotification);
     }
 
@@ -52,23 +60,37 @@
                 .put("sharedTokens", prompt.sharedTokens())
                 .put("ownPart", prompt.ownPart())
                 .put("ownTokens", prompt.ownTokens());
-        messenger.send(notification, notifiedPeers(target));
+        notifyPeers(notification, placement.prefillMilliseconds());
         return now;
     }
 
-    private List<Peer> notifiedPeers(TargetState target) {
+    private void notifyPeers(ObjectNode notification, double prefillMilliseconds) {
         List<Peer> peers = coordinator.peers();
-        if (peers.size() < ZONE_FILTER_MINIMUM_PEERS) {
-            return peers;
+        if (peers.size() < LARGE_FLEET_PEERS) {
+            messenger.send(notification, peers);
+        } else if (prefillMilliseconds >= MINIMUM_NOTIFIED_MILLISECONDS) {
+            ZoneFanOut<Peer> fanOut = ZoneFanOut.of(
+                    peers, Peer::availabilityZone, settings.instance().availabilityZone(), random);
+            messenger.send(notification, fanOut.direct());
+            messenger.send(notification.put(FORWARD_FIELD, true), fanOut.forwarders());
         }
+    }
+
+    private void forward(ObjectNode notification) {
+        notification.remove(FORWARD_FIELD);
         String ownZone = settings.instance().availabilityZone();
-        return peers.stream()
-                .filter(peer -> peer.availabilityZone().equals(ownZone)
-                        || peer.availabilityZone().equals(target.entry().availabilityZone()))
-                .toList();
+        messenger.send(
+                notification,
+                coordinator.peers().stream()
+                        .filter(peer -> peer.availabilityZone().equals(ownZone))
+                        .toList());
     }
 
     private void onNotification(JsonNode notification) {
+        if (notification instanceof ObjectNode message
+                && message.path(FORWARD_FIELD).asBoolean()) {
+            forward(message);
+        }
         directory
                 .find(notification.path("target").asText())
                 .ifPresent(target -> target.recordPrefillQueued(
