Resume and release the lease without waiting for it to lapse

After an outage of the store the lease was taken over 4.3 s after its return (26.0 s to 30.3 s): a row that the others had not read before the outage counted as new, so they waited a whole term, and so did the holder itself, although the row still named it. A holder that shuts down left its lease to lapse.

Change: a process whose lapsed lease still stands in the row writes it again, on condition of the row's version; this also claims a takeover whose response was lost. A holder resigns when it starts to drain and releases the row once its calls have arrived. Takeovers are checked every 250 ms instead of 1 s.

--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/FleetCoordinator.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/FleetCoordinator.java
@@ -34,12 +34,19 @@
     private static final Duration HEARTBEAT_TIMEOUT = Duration.ofSeconds(30);
 
     private static final Duration RENEWAL_INTERVAL = Duration.ofSeconds(1);
+    /** Interval at which an instance checks whether it renews the lease or takes it over. */
+    private static final Duration LEASE_CHECK_INTERVAL = Duration.ofMillis(250);
     /** Taken off the lease by its holder, to allow for the duration of a call and for clock drift. */
     private static final Duration HOLDER_SAFETY_MARGIN = Duration.ofMillis(400);
     /** Added to the lease before another instance takes over, to allow for the age of polled rows. */
     private static final Duration TAKEOVER_MARGIN = Duration.ofMillis(500);
 
+    /** Time in which calls that were sent under a lease arrive. */
+    private static final Duration RELEASE_DELAY = Duration.ofMillis(500);
+
     private static final int MAXIMUM_MEMBERS = 4096;
+    /** Holder in the row of a lease that has been released. */
+    private static final String NO_HOLDER = "";
 
     private final IngressSettings settings;
     private final FleetStore store;
@@ -52,7 +59,11 @@
     private long leaseObservedAt;
     private Optional<HeldLease> heldLease = Optional.empty();
     private boolean leaseWriteInFlight;
+    private boolean resigned;
     private long earliestAcquisitionAt;
+    private long leaseWrittenAt = Long.MIN_VALUE / 2;
+    /** Highest fencing token that this process has written or tried to write. */
+    private long ownToken;
 
     /** An instance and the time of its latest heartbeat. */
     private record Member(Peer peer, long lastHeartbeatAt) {}
@@ -79,7 +90,7 @@
         watcher.start();
         writeHeartbeat();
         subscriptions.add(timers.repeat(HEARTBEAT_INTERVAL, "heartbeat", this::writeHeartbeat));
-        subscriptions.add(timers.repeat(RENEWAL_INTERVAL, "lease", this::maintainLease));
+        subscriptions.add(timers.repeat(LEASE_CHECK_INTERVAL, "lease", this::maintainLease));
     }
 
     /** Stops and removes this instance's heartbeat row. */
@@ -137,6 +148,25 @@
         earliestAcquisitionAt = timers.monotonicNanoseconds() + 2 * leaseNanoseconds();
     }
 
+    /**
+     * Gives up the lease for good, and releases it once the calls that are under way have arrived, so that another
+     * instance takes it over without waiting until it lapses.
+     */
+    void resign() {
+        resigned = true;
+        heldLease
+                .filter(held -> fencingToken().isPresent())
+                .ifPresent(held -> subscriptions.add(timers.after(RELEASE_DELAY)
+                        .andThen(store.commit(leaseWrite(NO_HOLDER, held.token(), held.version())))
+                        .subscribe(
+                                result -> LOG.infof(
+                                        "event=lease_released token=%d released=%s", held.token(), result.committed()),
+                                cause -> LOG.warnf(
+                                        "event=lease_not_released token=%d cause=\"%s\"",
+                                        held.token(), cause.getMessage()))));
+        heldLease = Optional.empty();
+    }
+
     private long leaseNanoseconds() {
         return Duration.ofMillis(settings.bounds().leaseMilliseconds()).toNanos();
     }
@@ -238,61 +268,79 @@
     }
 
     private void maintainLease() {
-        if (!watcher.loaded() || leaseWriteInFlight) {
+        if (!watcher.loaded() || leaseWriteInFlight || resigned) {
             return;
         }
         long now = timers.monotonicNanoseconds();
         if (heldLease.isPresent()) {
-            HeldLease lease = heldLease.get();
-            if (now - lease.sentAt() > leaseNanoseconds()) {
-                // Another process may hold it by now. Waits for a full term before trying to acquire it again.
-                LOG.infof("event=lease_lost cause=\"not renewed in time\" token=%d", lease.token());
-                heldLease = Optional.empty();
-                leaseObservedAt = now;
-                return;
-            }
-            writeLease(lease.token(), lease.version(), false);
-            return;
-        }
-        // Jitter keeps instances that see the same expiry from all writing at once.
-        long jitter = random.nextLong(Duration.ofMillis(400).toNanos());
-        boolean expired = observedLease.version() == 0
-                || now - leaseObservedAt > leaseNanoseconds() + TAKEOVER_MARGIN.toNanos() + jitter;
-        if (expired
+            renewLease(heldLease.get(), now);
+        } else if (mayTakeOver(now)
                 && now >= earliestAcquisitionAt
                 && watcher.timeSinceLastResponse().compareTo(POLL_INTERVAL.multipliedBy(2)) < 0) {
             writeLease(observedLease.token() + 1, observedLease.version(), true);
         }
     }
 
-    private void writeLease(long token, long version, boolean takeover) {
-        leaseWriteInFlight = true;
-        long sentAt = timers.monotonicNanoseconds();
+    private void renewLease(HeldLease lease, long now) {
+        if (now - lease.sentAt() > leaseNanoseconds()) {
+            // Another process may hold it by now, which the row will show.
+            LOG.infof("event=lease_lost cause=\"not renewed in time\" token=%d", lease.token());
+            heldLease = Optional.empty();
+            leaseObservedAt = now;
+        } else if (now - leaseWrittenAt >= RENEWAL_INTERVAL.toNanos()) {
+            writeLease(lease.token(), lease.version(), false);
+        }
+    }
+
+    /**
+     * Tells whether the lease may be free. A lease that this process let lapse is still its own if the row says so: the
+     * write fails if another process has changed the row meanwhile.
+     */
+    private boolean mayTakeOver(long now) {
+        boolean released = observedLease.holder().equals(NO_HOLDER);
+        boolean ownLapsed = ownToken > 0
+                && observedLease.holder().equals(settings.instance().name())
+                && observedLease.token() == ownToken;
+        // Jitter keeps instances that see the same expiry from all writing at once.
+        long jitter = random.nextLong(Duration.ofMillis(400).toNanos());
+        return released || ownLapsed || now - leaseObservedAt > leaseNanoseconds() + TAKEOVER_MARGIN.toNanos() + jitter;
+    }
+
+    private RowTransaction leaseWrite(String holder, long token, long version) {
         String value = Codec.json()
                 .mapper()
                 .createObjectNode()
-                .put("holder", settings.instance().name())
+                .put("holder", holder)
                 .put("token", token)
                 .toString();
-        subscriptions.add(store.commit(RowTransaction.empty()
-                        .withPrecondition(Table.COORDINATION, LEASE_KEY, version)
-                        .withWrite(Table.COORDINATION, LEASE_KEY, Buffer.buffer(value)))
+        return RowTransaction.empty()
+                .withPrecondition(Table.COORDINATION, LEASE_KEY, version)
+                .withWrite(Table.COORDINATION, LEASE_KEY, Buffer.buffer(value));
+    }
+
+    private void writeLease(long token, long version, boolean takeover) {
+        leaseWriteInFlight = true;
+        long sentAt = timers.monotonicNanoseconds();
+        leaseWrittenAt = sentAt;
+        ownToken = token;
+        subscriptions.add(store.commit(leaseWrite(settings.instance().name(), token, version))
                 .subscribe(
                         result -> {
                             leaseWriteInFlight = false;
-                            if (result.committed()) {
+                            if (!result.committed()) {
+                                onLeaseWriteRejected(takeover);
+                            } else if (!resigned) {
                                 heldLease = Optional.of(new HeldLease(token, result.version(), sentAt));
                                 if (takeover) {
                                     LOG.infof(
                                             "event=lease_acquired token=%d previous=%s", token, observedLease.holder());
                                 }
-                            } else {
-                                onLeaseWriteRejected(takeover);
                             }
                         },
                         cause -> {
                             leaseWriteInFlight = false;
-                            // The write may still take effect, which the row will show; a takeover waits a full term.
+                            // The write may still take effect, which the row will show; a takeover waits a full term
+                            // unless the row names this process.
                             LOG.warnf(
                                     "event=lease_write_failed token=%d takeover=%s cause=\"%s\"",
                                     token, takeover, cause.getMessage());
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
@@ -250,6 +250,7 @@
             return Completable.never();
         }
         draining = true;
+        coordinator.resign();
         LOG.infof("event=draining instance=%s requests=%d", settings.instance().name(), server.requestsInFlight());
         Duration grace = Duration.ofMillis((long) (1000 * settings.bounds().gracePeriodSeconds()))
                 .minus(EXIT_MARGIN);
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/FleetCoordinatorTest.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/FleetCoordinatorTest.java
@@ -121,4 +121,58 @@
         advanceTime(3000);
         assertEquals(Optional.empty(), holder.fencingToken());
     }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void leaseIsHeldSoonAfterAStoreOutageThatOutlastedIt(long seed) {
+        List<FleetCoordinator> all = new ArrayList<>();
+        for (int index = 0; index < 4; index++) {
+            all.add(start("instance-" + index, seed * 10 + index));
+        }
+        advanceTime(5000 + seed * 170);
+        FleetCoordinator holder = holders(all).get(0);
+        long token = holder.fencingToken().orElseThrow();
+        store.unavailable = true;
+        advanceTime(8000);
+        assertEquals(0, holders(all).size());
+        store.unavailable = false;
+        advanceTime(2000);
+        assertEquals(1, holders(all).size());
+        assertTrue(holders(all).get(0).fencingToken().orElseThrow() > token);
+    }
+
+    @Test
+    void takeoverWithALostResponseIsClaimedByItsWriter() {
+        FleetCoordinator holder = start("instance-0", 1);
+        advanceTime(5000);
+        FleetCoordinator other = start("instance-1", 2);
+        advanceTime(3000);
+        holder.stop();
+        store.loseResponses = true;
+        advanceTime(6000);
+        assertEquals(Optional.empty(), other.fencingToken());
+        store.loseResponses = false;
+        advanceTime(2000);
+        assertTrue(other.fencingToken().isPresent());
+    }
+
+    @Test
+    void resignedHolderIsReplacedBeforeItsLeaseWouldLapse() {
+        List<FleetCoordinator> all = new ArrayList<>();
+        for (int index = 0; index < 3; index++) {
+            all.add(start("instance-" + index, index));
+        }
+        advanceTime(6000);
+        FleetCoordinator holder = holders(all).get(0);
+        long token = holder.fencingToken().orElseThrow();
+        holder.resign();
+        assertEquals(Optional.empty(), holder.fencingToken());
+        advanceTime(2700);
+        assertEquals(1, holders(all).size());
+        assertTrue(holders(all).get(0).fencingToken().orElseThrow() > token);
+        for (int step = 0; step < 200; step++) {
+            advanceTime(100);
+            assertEquals(Optional.empty(), holder.fencingToken());
+        }
+    }
 }
