Check the lease when a call is sent, not only when it is decided

Cause: usage reports, scaling calls and stage orders were sent with the token that was valid when they were decided. A call that waits for a connection, or a process that is suspended in between, sends them after the lease has ended; where the platform checks no tokens nothing stops them.

--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/FleetCoordinator.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/FleetCoordinator.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.fireflywalk.core.error.FireflywalkException;
+import io.fireflywalk.daemon.ingress.ControlPlane.LeaseHolder;
 import io.fireflywalk.daemon.ingress.FleetStore.FleetRow;
 import io.fireflywalk.daemon.ingress.FleetStore.RowTransaction;
 import io.fireflywalk.daemon.ingress.FleetStore.Table;
@@ -139,6 +140,14 @@
                 .map(HeldLease::token);
     }
 
+    /** Returns this instance as the holder of the lease with the fencing token. */
+    LeaseHolder holder(long token) {
+        return new LeaseHolder(
+                settings.instance().name(),
+                token,
+                () -> fencingToken().filter(current -> current == token).isPresent());
+    }
+
     /** Gives up the lease because a call was rejected in favour of a newer holder. */
     void relinquishLease() {
         LOG.infof(
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/FleetScaler.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/FleetScaler.java
@@ -205,7 +205,7 @@
         }
         boolean rejectedBefore = latest.map(ScalingCall::rejected).orElse(false);
         latestCalls.put(group, new ScalingCall(desired, now, true, rejectedBefore));
-        LeaseHolder holder = new LeaseHolder(settings.instance().name(), token.get());
+        LeaseHolder holder = coordinator.holder(token.get());
         subscriptions.add(controlPlane
                 .setTargetCount(holder, group.service(), group.availabilityZone(), group.preemptible(), desired)
                 .subscribe(accepted -> onScalingResponse(group, desired, actual, now, accepted, token.get()), cause -> {
@@ -239,7 +239,7 @@
         }
         stageCommandTimes.put(identifier, now);
         subscriptions.add(targetCommands
-                .changeStage(new LeaseHolder(settings.instance().name(), token.get()), target.entry(), Stage.PREFILL)
+                .changeStage(coordinator.holder(token.get()), target.entry(), Stage.PREFILL)
                 .subscribe(
                         accepted -> LOG.infof(
                                 "event=stage_ordered target=%s zone=%s stage=%s token=%d accepted=%s",
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressUsageReporter.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressUsageReporter.java
@@ -4,7 +4,6 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
-import io.fireflywalk.daemon.ingress.ControlPlane.LeaseHolder;
 import io.fireflywalk.daemon.ingress.FleetStore.FleetRow;
 import io.fireflywalk.daemon.ingress.FleetStore.RowTransaction;
 import io.fireflywalk.daemon.ingress.FleetStore.Table;
@@ -177,7 +176,7 @@
                         new FireflywalkException(ErrorKind.AUTHORITY_LOST, "the lease ended", "usage report"));
             }
             return controlPlane
-                    .reportUsage(new LeaseHolder(settings.instance().name(), token.get()), window, totals)
+                    .reportUsage(coordinator.holder(token.get()), window, totals)
                     .doOnSuccess(accepted -> {
                         LOG.infof(
                                 "event=usage_reported window=%d token=%d accounts=%d accepted=%s",
