Format log fields only for lines that are written

Cause: every request formatted its routing fields two or three times, although at most 20 lines a second are written.

Change: LogFields keeps the values and formats them with the line.

--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RemotePrefill.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RemotePrefill.java
@@ -44,7 +44,7 @@
     private int cacheRejections;
     private long queuedAt;
     private boolean closed;
-    private String logFields = "";
+    private final LogFields log = new LogFields();
 
     /**
      * Creates the prefill of one request.
@@ -88,7 +88,7 @@
 
     /** Returns the fields that describe the prefill in the request's log line. */
     String logFields() {
-        return logFields;
+        return log.format();
     }
 
     /** Sends the prompt to the runner of the placement. */
@@ -96,7 +96,7 @@
         attempts++;
         TargetState target = chosen.target();
         placement = Optional.of(chosen);
-        logFields = String.format(
+        log.replace(() -> String.format(
                 "reader=%s reader_zone=%s reader_estimate_ms=%.0f reader_wait_ms=%.0f reader_candidates=%d fetch_from=%s"
                         + " tokens=%d shared_part=%s shared_tokens=%d",
                 target.entry().identifier(),
@@ -107,7 +107,7 @@
                 chosen.fetchFrom().map(source -> source.entry().identifier()).orElse("-"),
                 description.promptTokens(),
                 summary.sharedPart(),
-                summary.sharedTokens());
+                summary.sharedTokens()));
         TargetExchange exchange = new TargetExchange(context, target, description.attemptIdentifier(), this);
         current = Optional.of(exchange);
         queuedAt = context.placementBroadcaster().recordPlacement(chosen, summary);
@@ -134,7 +134,7 @@
         exchange.complete(head.success());
         long now = context.timers().monotonicNanoseconds();
         Duration elapsed = Duration.ofNanos(now - exchange.startedAt());
-        logFields = logFields + " read_ms=" + elapsed.toMillis() + " read_status=" + head.status();
+        log.add(() -> "read_ms=" + elapsed.toMillis() + " read_status=" + head.status());
         if (head.success()) {
             exchange.target().recordPrefillCompleted(summary, queuedAt, now);
             placement.ifPresent(
@@ -169,7 +169,7 @@
         stallTimer.dispose();
         context.metrics().count("prompt_failures");
         recordCancelled(exchange);
-        logFields = logFields + " reader_failure=\"" + cause.replace('"', '\'') + '"';
+        log.add(() -> "reader_failure=\"" + cause.replace('"', '\'') + '"');
         resumeRequest();
     }
 
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestForwarder.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestForwarder.java
@@ -69,7 +69,7 @@
     private boolean executionStarted;
     private boolean streaming;
     private boolean finished;
-    private String routingLogFields = "";
+    private final LogFields routing = new LogFields();
     private long firstByteMilliseconds = -1;
 
     RequestForwarder(
@@ -132,10 +132,8 @@
             return;
         }
         sendTo(choice.get().target(), Optional.empty(), timeLeft, stallTimeout());
-        routingLogFields = routingLogFields
-                + String.format(
-                        " cost=%.3f candidates=%d",
-                        choice.get().cost(), choice.get().candidates());
+        routing.add(() -> String.format(
+                "cost=%.3f candidates=%d", choice.get().cost(), choice.get().candidates()));
     }
 
     private boolean shouldPrefillSeparately() {
@@ -153,22 +151,21 @@
         TargetState target = placement.target();
         if (placement.waitMissesObjective(
                 (double) route.latencyObjective().toMillis(), (double) elapsed().toMillis())) {
-            routingLogFields = String.format(
+            routing.replace(() -> String.format(
                     "reader=%s estimate_ms=%.0f wait_ms=%.0f candidates=%d",
                     target.entry().identifier(),
                     placement.timeToFirstTokenMilliseconds(),
                     placement.queueMilliseconds(),
-                    placement.candidates());
+                    placement.candidates()));
             fail(ErrorKind.QUEUE_FULL, "the prompt would wait too long");
             return;
         }
         if (target.entry().stage() != Stage.PREFILL) {
             context.placementBroadcaster().recordPlacement(placement, summary);
             sendTo(target, placement.fetchFrom(), timeLeft, placement.stallTimeout(stallTimeout()));
-            routingLogFields = routingLogFields
-                    + String.format(
-                            " estimate_ms=%.0f candidates=%d",
-                            placement.timeToFirstTokenMilliseconds(), placement.candidates());
+            routing.add(() -> String.format(
+                    "estimate_ms=%.0f candidates=%d",
+                    placement.timeToFirstTokenMilliseconds(), placement.candidates()));
         } else if (prefill.notAttempted() || context.retryBudgets().trySpend(service)) {
             prefill.start(placement, request(target, timeLeft, true, placement.fetchFrom()));
         } else {
@@ -185,12 +182,11 @@
     private void sendTo(TargetState target, Optional<TargetState> fetchFrom, Duration timeLeft, Duration timeout) {
         TargetExchange exchange = new TargetExchange(context, target, description.attemptIdentifier(), this);
         current = Optional.of(exchange);
-        routingLogFields = String.format(
+        double load = target.estimatedRequests(context.timers().monotonicNanoseconds());
+        double failureRate = target.failureRate();
+        routing.replace(() -> String.format(
                 "target=%s target_zone=%s load=%.1f failure_rate=%.2f",
-                target.entry().identifier(),
-                target.entry().availabilityZone(),
-                target.estimatedRequests(context.timers().monotonicNanoseconds()),
-                target.failureRate());
+                target.entry().identifier(), target.entry().availabilityZone(), load, failureRate));
         exchange.start(
                 caller.method(),
                 caller.uri(),
@@ -416,7 +412,7 @@
             return;
         }
         context.metrics().count("target_failures");
-        routingLogFields = routingLogFields + " failure=\"" + cause.replace('"', '\'') + '"';
+        routing.add(() -> "failure=\"" + cause.replace('"', '\'') + '"');
         excludedTargets.add(exchange.target().entry().identifier());
         events.discardPartial();
         if (!exchange.sent()) {
@@ -527,7 +523,7 @@
                                 rejections,
                                 context.configuration().version(),
                                 prefill.logFields(),
-                                routingLogFields));
+                                routing.format()));
     }
 
     private Duration elapsed() {
