Split the request's log line and stall timer from the forwarder

Change: StallTimer, which RemotePrefill shares, and RequestLog hold what they name; relaying with backpressure moves to CallerExchange, the statuses that promise "not run" to TargetResponseHead, the stage test to TargetState. No change of behaviour; IngressPathTest and the checks of the linter pass.

--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetState.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetState.java
@@ -170,6 +170,11 @@
         return Math.max(inFlight, reportedRequests + (double) sentSinceReport);
     }
 
+    /** Tells whether the target runs whole requests; runners of the prefill stage do not. */
+    public boolean generates() {
+        return entry.stage() != TargetEntry.Stage.PREFILL;
+    }
+
     /** Returns the moving average of failures, from 0 to 1. */
     public double failureRate() {
         return failureRate;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/CallerExchange.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/CallerExchange.java
@@ -118,6 +118,11 @@
         return arrivedAt;
     }
 
+    /** Returns the time since the head of the request arrived. */
+    Duration elapsed() {
+        return Duration.ofNanos(context.timers().monotonicNanoseconds() - arrivedAt);
+    }
+
     // Response
 
     /** Sends a complete response. */
@@ -137,16 +142,14 @@
         addCloseHeader();
     }
 
-    /** Sends a chunk of a streamed response; returns true if the write queue is full. */
-    boolean write(Buffer chunk) {
+    /** Sends a chunk of a streamed response, and pauses its source while the caller does not read. */
+    void relay(Buffer chunk, TargetExchange source) {
         HttpServerResponse response = request.response();
         response.write(chunk);
-        return response.writeQueueFull();
-    }
-
-    /** Sets the handler that runs when the write queue has drained. */
-    void onWritable(Runnable handler) {
-        request.response().drainHandler(ignored -> handler.run());
+        if (response.writeQueueFull()) {
+            source.pause();
+            response.drainHandler(ignored -> source.resume());
+        }
     }
 
     /** Ends a streamed response as complete. */
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressContext.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressContext.java
@@ -23,4 +23,10 @@
         RetryBudgets retryBudgets,
         UsageCounter usageCounter,
         IngressMetrics metrics,
-        BooleanSupplier draining) {}
+        BooleanSupplier draining) {
+
+    /** Returns the availability zone of this instance. */
+    String availabilityZone() {
+        return settings.instance().availabilityZone();
+    }
+}
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RemotePrefill.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RemotePrefill.java
@@ -8,7 +8,6 @@
 import io.fireflywalk.daemon.ingress.TargetProtocol.CacheSource;
 import io.fireflywalk.daemon.ingress.TargetProtocol.TargetRequest;
 import io.fireflywalk.daemon.ingress.TargetProtocol.TargetResponseHead;
-import io.reactivex.rxjava3.disposables.Disposable;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
@@ -39,7 +38,7 @@
     private Optional<TargetExchange> current = Optional.empty();
     private Optional<CacheSource> cacheSource = Optional.empty();
     private Optional<Placement> placement = Optional.empty();
-    private Disposable stallTimer = Disposable.disposed();
+    private final StallTimer stallTimer;
     private int attempts;
     private int cacheRejections;
     private long queuedAt;
@@ -62,6 +61,7 @@
         this.description = description;
         this.summary = summary;
         this.continuation = continuation;
+        this.stallTimer = new StallTimer(context);
     }
 
     /** Tells whether a prefill may be attempted. */
@@ -113,16 +113,12 @@
         queuedAt = context.placementBroadcaster().recordPlacement(chosen, summary);
         exchange.start(caller.method(), caller.uri(), caller.headers(), caller.body(), requestHead);
         Duration timeout = chosen.stallTimeout(STALL_TIMEOUT);
-        stallTimer = context.timers().after(timeout).subscribe(() -> {
-            if (!exchange.ended() && target.lastResponseAt() < exchange.startedAt()) {
-                exchange.fail("silent for " + timeout.toMillis() + " ms");
-            }
-        });
+        stallTimer.start(exchange, timeout, () -> exchange.fail("silent for " + timeout.toMillis() + " ms"));
     }
 
     @Override
     public void onResponse(TargetExchange exchange, TargetResponseHead head, HttpClientResponse response) {
-        stallTimer.dispose();
+        stallTimer.stop();
         ResponseBodyReader.collect(
                 response,
                 MAXIMUM_RESPONSE_BYTES,
@@ -166,7 +162,7 @@
 
     @Override
     public void onFailure(TargetExchange exchange, String cause) {
-        stallTimer.dispose();
+        stallTimer.stop();
         context.metrics().count("prompt_failures");
         recordCancelled(exchange);
         log.add(() -> "reader_failure=\"" + cause.replace('"', '\'') + '"');
@@ -197,7 +193,7 @@
     /** Cancels a prefill in progress and frees a KV cache that has not been fetched. */
     void close() {
         closed = true;
-        stallTimer.dispose();
+        stallTimer.stop();
         current.filter(exchange -> !exchange.ended()).ifPresent(exchange -> {
             exchange.cancel();
             recordCancelled(exchange);
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestForwarder.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestForwarder.java
@@ -18,7 +18,6 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 
@@ -34,10 +33,6 @@
     private static final Duration MINIMUM_ATTEMPT_TIME = Duration.ofMillis(15);
     /** Limit of attempts that a target rejected or that were not sent. */
     private static final int MAXIMUM_REJECTIONS = 3;
-    /** Time without a response after which a target counts as stalled, as a multiple of the route's objective. */
-    private static final double STALL_TIMEOUT_PER_OBJECTIVE = 1.7;
-
-    private static final Duration MINIMUM_STALL_TIMEOUT = Duration.ofMillis(350);
     /** Longer responses are passed on as they arrive, so that a body without end takes no more memory. */
     private static final int MAXIMUM_COLLECTED_BYTES = 65_536;
     /** A stream with a longer event is broken off. */
@@ -58,9 +53,9 @@
     private final SseEventSplitter events = new SseEventSplitter();
     private final PromptSummary summary;
     private final RemotePrefill prefill;
+    private final StallTimer stallTimer;
     private Optional<TargetExchange> current = Optional.empty();
     private Disposable deadlineTimer = Disposable.disposed();
-    private Disposable stallTimer = Disposable.disposed();
     private int possiblyRunAttempts;
     private int rejections;
     /** True if the retry budget has already been charged for the retry after an exchange that is about to fail. */
@@ -69,7 +64,7 @@
     private boolean executionStarted;
     private boolean streaming;
     private boolean finished;
-    private final LogFields routing = new LogFields();
+    private final RequestLog log;
     private long firstByteMilliseconds = -1;
 
     RequestForwarder(
@@ -92,6 +87,8 @@
                 .orElse(route.timeout());
         this.summary = description.summary(Math.min(LOWEST_RUNNER_PRIORITY, BASE_RUNNER_PRIORITY + route.priority()));
         this.prefill = new RemotePrefill(context, caller, description, summary, this::dispatch);
+        this.stallTimer = new StallTimer(context);
+        this.log = new RequestLog(description, route, clientAccount, deadline);
     }
 
     void start() {
@@ -118,22 +115,29 @@
         long now = context.timers().monotonicNanoseconds();
         if (shouldPrefillSeparately()) {
             Optional<Placement> placement = context.promptPlacement()
-                    .choose(targets, excludedTargets, maximumInFlight, summary, ownZone(), now);
+                    .choose(targets, excludedTargets, maximumInFlight, summary, context.availabilityZone(), now);
             if (placement.isPresent()) {
                 sendToPlacement(placement.get(), timeLeft);
                 return;
             }
         }
-        String zone = prefill.cacheZone().orElse(ownZone());
-        Optional<Choice> choice =
-                context.targetPicker().leastLoaded(decodeTargets(targets), excludedTargets, maximumInFlight, zone, now);
+        String zone = prefill.cacheZone().orElse(context.availabilityZone());
+        Optional<Choice> choice = context.targetPicker()
+                .leastLoaded(
+                        targets.stream().filter(TargetState::generates).toList(),
+                        excludedTargets,
+                        maximumInFlight,
+                        zone,
+                        now);
         if (choice.isEmpty()) {
             fail(rejections > 0 ? ErrorKind.TARGET_REFUSED : ErrorKind.NO_TARGET, "no target is available");
             return;
         }
-        sendTo(choice.get().target(), Optional.empty(), timeLeft, stallTimeout());
-        routing.add(() -> String.format(
-                "cost=%.3f candidates=%d", choice.get().cost(), choice.get().candidates()));
+        sendTo(choice.get().target(), Optional.empty(), timeLeft, StallTimer.defaultTimeout(route.latencyObjective()));
+        log.routing()
+                .add(() -> String.format(
+                        "cost=%.3f candidates=%d",
+                        choice.get().cost(), choice.get().candidates()));
     }
 
     private boolean shouldPrefillSeparately() {
@@ -143,29 +147,25 @@
                 && prefill.allowed();
     }
 
-    private String ownZone() {
-        return context.settings().instance().availabilityZone();
-    }
-
     private void sendToPlacement(Placement placement, Duration timeLeft) {
         TargetState target = placement.target();
-        if (placement.waitMissesObjective(
-                (double) route.latencyObjective().toMillis(), (double) elapsed().toMillis())) {
-            routing.replace(() -> String.format(
-                    "reader=%s estimate_ms=%.0f wait_ms=%.0f candidates=%d",
-                    target.entry().identifier(),
-                    placement.timeToFirstTokenMilliseconds(),
-                    placement.queueMilliseconds(),
-                    placement.candidates()));
+        if (placement.waitMissesObjective((double) route.latencyObjective().toMillis(), (double)
+                caller.elapsed().toMillis())) {
+            log.routing().replace(() -> RequestLog.waitFields(placement));
             fail(ErrorKind.QUEUE_FULL, "the prompt would wait too long");
             return;
         }
         if (target.entry().stage() != Stage.PREFILL) {
             context.placementBroadcaster().recordPlacement(placement, summary);
-            sendTo(target, placement.fetchFrom(), timeLeft, placement.stallTimeout(stallTimeout()));
-            routing.add(() -> String.format(
-                    "estimate_ms=%.0f candidates=%d",
-                    placement.timeToFirstTokenMilliseconds(), placement.candidates()));
+            sendTo(
+                    target,
+                    placement.fetchFrom(),
+                    timeLeft,
+                    placement.stallTimeout(StallTimer.defaultTimeout(route.latencyObjective())));
+            log.routing()
+                    .add(() -> String.format(
+                            "estimate_ms=%.0f candidates=%d",
+                            placement.timeToFirstTokenMilliseconds(), placement.candidates()));
         } else if (prefill.notAttempted() || context.retryBudgets().trySpend(service)) {
             prefill.start(placement, request(target, timeLeft, true, placement.fetchFrom()));
         } else {
@@ -173,27 +173,22 @@
         }
     }
 
-    private static List<TargetState> decodeTargets(Collection<TargetState> targets) {
-        return targets.stream()
-                .filter(target -> target.entry().stage() != Stage.PREFILL)
-                .toList();
-    }
-
     private void sendTo(TargetState target, Optional<TargetState> fetchFrom, Duration timeLeft, Duration timeout) {
         TargetExchange exchange = new TargetExchange(context, target, description.attemptIdentifier(), this);
         current = Optional.of(exchange);
         double load = target.estimatedRequests(context.timers().monotonicNanoseconds());
         double failureRate = target.failureRate();
-        routing.replace(() -> String.format(
-                "target=%s target_zone=%s load=%.1f failure_rate=%.2f",
-                target.entry().identifier(), target.entry().availabilityZone(), load, failureRate));
+        log.routing()
+                .replace(() -> String.format(
+                        "target=%s target_zone=%s load=%.1f failure_rate=%.2f",
+                        target.entry().identifier(), target.entry().availabilityZone(), load, failureRate));
         exchange.start(
                 caller.method(),
                 caller.uri(),
                 caller.headers(),
                 caller.body(),
                 request(target, timeLeft, false, fetchFrom));
-        startStallTimer(exchange, timeout);
+        stallTimer.start(exchange, timeout, () -> onStalled(exchange, timeout));
     }
 
     private TargetRequest request(
@@ -209,35 +204,24 @@
                 summary.priority());
     }
 
-    private Duration stallTimeout() {
-        Duration timeout = Duration.ofNanos((long) (route.latencyObjective().toNanos() * STALL_TIMEOUT_PER_OBJECTIVE));
-        return timeout.compareTo(MINIMUM_STALL_TIMEOUT) < 0 ? MINIMUM_STALL_TIMEOUT : timeout;
-    }
-
     /** Records a failure of a target that sends no response to any request in time; retries elsewhere if allowed. */
-    private void startStallTimer(TargetExchange exchange, Duration timeout) {
-        stallTimer.dispose();
-        stallTimer = context.timers().after(timeout).subscribe(() -> {
-            if (exchange.ended() || executionStarted) {
-                return;
-            }
-            if (exchange.target().lastResponseAt() >= exchange.startedAt()) {
-                return;
-            }
-            if (tryChargeRetry(1)) {
-                retryCharged = true;
-                exchange.fail("silent for " + timeout.toMillis() + " ms");
-            } else {
-                exchange.target().recordFailure(context.timers().monotonicNanoseconds());
-            }
-        });
+    private void onStalled(TargetExchange exchange, Duration timeout) {
+        if (executionStarted) {
+            return;
+        }
+        if (tryChargeRetry(1)) {
+            retryCharged = true;
+            exchange.fail("silent for " + timeout.toMillis() + " ms");
+        } else {
+            exchange.target().recordFailure(context.timers().monotonicNanoseconds());
+        }
     }
 
     // Responses
 
     @Override
     public void onResponse(TargetExchange exchange, TargetResponseHead head, HttpClientResponse response) {
-        stallTimer.dispose();
+        stallTimer.stop();
         if (head.notExecuted()) {
             onRejected(exchange, head, response);
         } else if (finished) {
@@ -292,16 +276,16 @@
     /** Passes a long response on as it arrives. It ends at the deadline at the latest, and then looks incomplete. */
     private void passOn(
             TargetExchange exchange, TargetResponseHead head, HttpClientResponse response, Buffer firstBytes) {
-        if (finished || !head.signed() || impliesNotRun(head.status())) {
+        if (finished || !head.signed() || head.impliesNotRun()) {
             exchange.fail("response of more than " + MAXIMUM_COLLECTED_BYTES + " bytes with status " + head.status());
             return;
         }
         markExecutionStarted();
         startStreaming(response);
-        relay(exchange, firstBytes);
+        caller.relay(firstBytes, exchange);
         response.handler(chunk -> {
             if (!finished && !exchange.ended()) {
-                relay(exchange, chunk);
+                caller.relay(chunk, exchange);
             }
         });
         response.endHandler(ignored -> {
@@ -320,21 +304,16 @@
             dispatch();
             return;
         }
-        if (!head.signed() || impliesNotRun(head.status())) {
+        if (!head.signed() || head.impliesNotRun()) {
             fail(ErrorKind.TARGET_FAILED, "the target answered " + head.status());
             return;
         }
-        context.metrics().firstByte(elapsed().toNanos());
+        context.metrics().firstByte(caller.elapsed().toNanos());
         context.targetProtocol().writeResponseHead(response.headers(), caller.responseHeaders());
         finish("answered", head.status(), true, "");
         caller.end(head.status(), body);
     }
 
-    /** Callers rely on these statuses to mean that a request has not run. */
-    private static boolean impliesNotRun(int status) {
-        return status == 408 || status == 421 || status == 429 || status == 503;
-    }
-
     private void forwardStream(TargetExchange exchange, HttpClientResponse response) {
         response.handler(chunk -> onStreamChunk(exchange, response, chunk));
         response.endHandler(ignored -> onStreamEnd(exchange));
@@ -360,23 +339,16 @@
         if (!streaming) {
             startStreaming(response);
         }
-        relay(exchange, completeEvents);
+        caller.relay(completeEvents, exchange);
     }
 
     private void startStreaming(HttpClientResponse response) {
         streaming = true;
-        context.metrics().firstByte(elapsed().toNanos());
+        context.metrics().firstByte(caller.elapsed().toNanos());
         context.targetProtocol().writeResponseHead(response.headers(), caller.responseHeaders());
         caller.startStream(response.statusCode());
     }
 
-    private void relay(TargetExchange exchange, Buffer bytes) {
-        if (caller.write(bytes)) {
-            exchange.pause();
-            caller.onWritable(exchange::resume);
-        }
-    }
-
     private void onStreamEnd(TargetExchange exchange) {
         if (finished || exchange.ended()) {
             return;
@@ -397,7 +369,7 @@
     private void markExecutionStarted() {
         if (!executionStarted) {
             executionStarted = true;
-            firstByteMilliseconds = elapsed().toMillis();
+            firstByteMilliseconds = caller.elapsed().toMillis();
             prefill.onCacheFetched();
             clientAccount.ifPresent(context.usageCounter()::requestStarted);
         }
@@ -407,12 +379,12 @@
 
     @Override
     public void onFailure(TargetExchange exchange, String cause) {
-        stallTimer.dispose();
+        stallTimer.stop();
         if (finished) {
             return;
         }
         context.metrics().count("target_failures");
-        routing.add(() -> "failure=\"" + cause.replace('"', '\'') + '"');
+        log.routing().add(() -> "failure=\"" + cause.replace('"', '\'') + '"');
         excludedTargets.add(exchange.target().entry().identifier());
         events.discardPartial();
         if (!exchange.sent()) {
@@ -470,7 +442,8 @@
         boolean mayHaveRun = possiblyRunAttempts > 0
                 || current.filter(exchange -> exchange.sent() && !exchange.ended())
                         .isPresent();
-        ErrorKind reportedKind = mayHaveRun && impliesNotRun(kind.httpStatus()) ? ErrorKind.TARGET_FAILED : kind;
+        ErrorKind reportedKind =
+                mayHaveRun && TargetResponseHead.impliesNotRun(kind.httpStatus()) ? ErrorKind.TARGET_FAILED : kind;
         finish(reportedKind.code(), reportedKind.httpStatus(), false, cause);
         caller.sendError(new FireflywalkException(reportedKind, cause, "request"));
     }
@@ -489,7 +462,7 @@
     private void finish(String outcome, int status, boolean answered, String cause) {
         finished = true;
         deadlineTimer.dispose();
-        stallTimer.dispose();
+        stallTimer.stop();
         prefill.close();
         // A request that must run at most once continues without its caller, because cancelling it would leave its
         // outcome unknown.
@@ -499,38 +472,26 @@
         } else {
             current.ifPresent(TargetExchange::cancel);
         }
+        RequestLog.Result result = new RequestLog.Result(
+                outcome,
+                status,
+                cause,
+                firstByteMilliseconds,
+                caller.elapsed(),
+                possiblyRunAttempts,
+                rejections,
+                context.configuration().version());
         long now = context.timers().monotonicNanoseconds();
-        Duration elapsed = elapsed();
         context.metrics()
                 .requestEnded(
                         now,
-                        elapsed.toNanos(),
+                        result.elapsed().toNanos(),
                         outcome,
                         answered,
-                        () -> String.format(
-                                "event=request id=%s route=%s account=%s outcome=%s status=%d cause=\"%s\" first_byte_ms=%d ms=%d"
-                                        + " deadline_ms=%d sends=%d refusals=%d configuration=%d %s %s",
-                                description.attemptIdentifier(),
-                                route.name(),
-                                clientAccount.orElse("-"),
-                                outcome,
-                                status,
-                                cause.replace('"', '\''),
-                                firstByteMilliseconds,
-                                elapsed.toMillis(),
-                                deadline.toMillis(),
-                                possiblyRunAttempts,
-                                rejections,
-                                context.configuration().version(),
-                                prefill.logFields(),
-                                routing.format()));
-    }
-
-    private Duration elapsed() {
-        return Duration.ofNanos(context.timers().monotonicNanoseconds() - caller.arrivedAt());
+                        () -> log.format(result, prefill.logFields()));
     }
 
     private Duration remaining() {
-        return deadline.minus(elapsed());
+        return deadline.minus(caller.elapsed());
     }
 }
--- /dev/null
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestLog.java
@@ -0,0 +1,77 @@
+package io.fireflywalk.daemon.ingress;
+
+import io.fireflywalk.core.ingress.HostRoute;
+import io.fireflywalk.core.ingress.PromptPlacement.Placement;
+import io.fireflywalk.core.ingress.RequestDescription;
+import java.time.Duration;
+import java.util.Optional;
+
+/** Log line of one request with its routing decisions; formatted only if it is written. Confined to one event loop. */
+final class RequestLog {
+    private final RequestDescription description;
+    private final HostRoute route;
+    private final Optional<String> clientAccount;
+    private final Duration deadline;
+    private final LogFields routing = new LogFields();
+
+    /**
+     * How a request ended.
+     *
+     * @param status status of the response; 0 if it has none or was broken off
+     * @param firstByteMilliseconds time to the first byte of a target's response; -1 if there was none
+     * @param possiblyRunAttempts attempts that may have run
+     * @param rejections attempts that targets rejected or that were not sent
+     */
+    record Result(
+            String outcome,
+            int status,
+            String cause,
+            long firstByteMilliseconds,
+            Duration elapsed,
+            int possiblyRunAttempts,
+            int rejections,
+            long configurationVersion) {}
+
+    RequestLog(RequestDescription description, HostRoute route, Optional<String> clientAccount, Duration deadline) {
+        this.description = description;
+        this.route = route;
+        this.clientAccount = clientAccount;
+        this.deadline = deadline;
+    }
+
+    /** Returns the fields of the latest routing decision. */
+    LogFields routing() {
+        return routing;
+    }
+
+    /** Formats the fields of a prompt that is rejected because it would wait too long. */
+    static String waitFields(Placement placement) {
+        return String.format(
+                "reader=%s estimate_ms=%.0f wait_ms=%.0f candidates=%d",
+                placement.target().entry().identifier(),
+                placement.timeToFirstTokenMilliseconds(),
+                placement.queueMilliseconds(),
+                placement.candidates());
+    }
+
+    /** Formats the line. */
+    String format(Result result, String prefillFields) {
+        return String.format(
+                "event=request id=%s route=%s account=%s outcome=%s status=%d cause=\"%s\" first_byte_ms=%d ms=%d"
+                        + " deadline_ms=%d sends=%d refusals=%d configuration=%d %s %s",
+                description.attemptIdentifier(),
+                route.name(),
+                clientAccount.orElse("-"),
+                result.outcome(),
+                result.status(),
+                result.cause().replace('"', '\''),
+                result.firstByteMilliseconds(),
+                result.elapsed().toMillis(),
+                deadline.toMillis(),
+                result.possiblyRunAttempts(),
+                result.rejections(),
+                result.configurationVersion(),
+                prefillFields,
+                routing.format());
+    }
+}
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetProtocol.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetProtocol.java
@@ -69,6 +69,16 @@
             return status >= 200 && status < 300;
         }
 
+        /** Tells whether the status promises that the request has not run. */
+        public boolean impliesNotRun() {
+            return impliesNotRun(status);
+        }
+
+        /** Tells whether callers rely on a status to mean that a request has not run. */
+        public static boolean impliesNotRun(int status) {
+            return status == 408 || status == 421 || status == 429 || status == 503;
+        }
+
         /** Tells whether the status is a failure of the server (5xx). */
         public boolean serverError() {
             return status >= 500;
