Log and count the ends of targets with the prompts that they had not answered

When runners ended one after the other, the log lines did not say so: they named the parts of a prompt only if it was prefilled apart, were sampled, and showed lost connections without telling a reset from the end of a process. A lost connection is now followed by one connection attempt; a refused one is logged as event=target_crashed with the shared parts of the prompts that had no whole event, and counted as target_crashes. The line of a request names its shared parts.

--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/RequestDescription.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/RequestDescription.java
@@ -24,6 +24,14 @@
         promptParts = List.copyOf(promptParts);
     }
 
+    /** Returns the identifiers of the parts that other requests may have as well: all but the last. */
+    public List<String> sharedPartIdentifiers() {
+        return promptParts.stream()
+                .limit(Math.max(0, promptParts.size() - 1))
+                .map(PromptPart::identifier)
+                .toList();
+    }
+
     /** Returns the part that ends the longest shared prefix, which is the one before the request's own part. */
     public Optional<PromptPart> sharedPart() {
         return promptParts.size() < 2 ? Optional.empty() : Optional.of(promptParts.get(promptParts.size() - 2));
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressContext.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressContext.java
@@ -20,6 +20,7 @@
         TargetPicker targetPicker,
         PromptPlacement promptPlacement,
         PlacementBroadcaster placementBroadcaster,
+        TargetCrashDetector crashDetector,
         RetryBudgets retryBudgets,
         UsageCounter usageCounter,
         IngressMetrics metrics,
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
@@ -8,6 +8,7 @@
 import io.fireflywalk.core.ingress.ServiceProfile.EngineProfile;
 import io.fireflywalk.core.ingress.TargetPicker;
 import io.fireflywalk.daemon.ingress.FleetStore.Table;
+import io.fireflywalk.daemon.ingress.TargetCrashDetector.Connector;
 import io.fireflywalk.daemon.operators.MetricsRenderer;
 import io.fireflywalk.services.time.TimerService;
 import io.reactivex.rxjava3.core.Completable;
@@ -18,6 +19,8 @@
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.PoolOptions;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
 import java.time.Duration;
 import java.util.List;
 import java.util.function.Supplier;
@@ -28,6 +31,7 @@
 public final class IngressDaemon {
     private static final Logger LOG = Logger.getLogger(IngressDaemon.class);
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(600);
+    private static final Duration CRASH_CHECK_TIMEOUT = Duration.ofMillis(300);
     /** Shorter than the idle time after which targets close connections, unless a target states a shorter one. */
     private static final int KEEP_ALIVE_SECONDS = 4;
 
@@ -119,6 +123,9 @@
                 coordinator,
                 timers,
                 List.of(configurationWatcher, targetWatcher, coordinator.watcher()));
+        IngressMetrics metrics = new IngressMetrics(registry);
+        TargetCrashDetector crashDetector =
+                new TargetCrashDetector(timers, Connector.of(createCrashCheckClient(vertx)), metrics, crash -> {});
         IngressContext context = new IngressContext(
                 settings,
                 timers,
@@ -131,9 +138,10 @@
                 new TargetPicker(random),
                 promptPlacement,
                 placementBroadcaster,
+                crashDetector,
                 new RetryBudgets(settings.bounds(), timers, coordinator::instanceCount),
                 usageCounter,
-                new IngressMetrics(registry),
+                metrics,
                 () -> draining);
         this.server = new IngressServer(vertx, context, this::requestsPerTarget);
         registry.register("configuration_version", (Gauge<Long>) configuration::version);
@@ -160,6 +168,10 @@
                 .build();
     }
 
+    private static NetClient createCrashCheckClient(Vertx vertx) {
+        return vertx.createNetClient(new NetClientOptions().setConnectTimeout((int) CRASH_CHECK_TIMEOUT.toMillis()));
+    }
+
     private Duration timeSinceTargetTableRecovery() {
         return targetWatcher.timeSinceRecovery();
     }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RemotePrefill.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RemotePrefill.java
@@ -13,6 +13,7 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import org.jboss.logging.Logger;
 
@@ -164,6 +165,10 @@
     public void onFailure(TargetExchange exchange, String cause) {
         stallTimer.stop();
         context.metrics().count("prompt_failures");
+        List<String> sharedParts = description.sharedPartIdentifiers();
+        if (exchange.lostUnanswered() && !sharedParts.isEmpty()) {
+            context.crashDetector().onConnectionLost(exchange.target().entry(), sharedParts);
+        }
         recordCancelled(exchange);
         log.add(() -> "reader_failure=\"" + cause.replace('"', '\'') + '"');
         resumeRequest();
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestForwarder.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestForwarder.java
@@ -18,6 +18,7 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 
@@ -282,6 +283,7 @@
         }
         markExecutionStarted();
         startStreaming(response);
+        exchange.recordDelivery();
         caller.relay(firstBytes, exchange);
         response.handler(chunk -> {
             if (!finished && !exchange.ended()) {
@@ -339,6 +341,7 @@
         if (!streaming) {
             startStreaming(response);
         }
+        exchange.recordDelivery();
         caller.relay(completeEvents, exchange);
     }
 
@@ -380,6 +383,7 @@
     @Override
     public void onFailure(TargetExchange exchange, String cause) {
         stallTimer.stop();
+        reportLoss(exchange);
         if (finished) {
             return;
         }
@@ -410,6 +414,13 @@
         }
     }
 
+    private void reportLoss(TargetExchange exchange) {
+        List<String> sharedParts = description.sharedPartIdentifiers();
+        if (exchange.lostUnanswered() && !sharedParts.isEmpty()) {
+            context.crashDetector().onConnectionLost(exchange.target().entry(), sharedParts);
+        }
+    }
+
     /**
      * Charges the retry budget if one more attempt is allowed.
      *
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestLog.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestLog.java
@@ -4,10 +4,15 @@
 import io.fireflywalk.core.ingress.PromptPlacement.Placement;
 import io.fireflywalk.core.ingress.RequestDescription;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
+import java.util.stream.Collectors;
 
 /** Log line of one request with its routing decisions; formatted only if it is written. Confined to one event loop. */
 final class RequestLog {
+    private static final int MAXIMUM_LOGGED_PARTS = 8;
+    private static final int MAXIMUM_LOGGED_PART_LENGTH = 64;
+
     private final RequestDescription description;
     private final HostRoute route;
     private final Optional<String> clientAccount;
@@ -54,11 +59,21 @@
                 placement.candidates());
     }
 
+    /** Formats the first of the identifiers of prompt parts, which are of any number and length. */
+    static String formatParts(List<String> parts) {
+        return parts.isEmpty()
+                ? "-"
+                : parts.stream()
+                        .limit(MAXIMUM_LOGGED_PARTS)
+                        .map(part -> part.substring(0, Math.min(part.length(), MAXIMUM_LOGGED_PART_LENGTH)))
+                        .collect(Collectors.joining(","));
+    }
+
     /** Formats the line. */
     String format(Result result, String prefillFields) {
         return String.format(
                 "event=request id=%s route=%s account=%s outcome=%s status=%d cause=\"%s\" first_byte_ms=%d ms=%d"
-                        + " deadline_ms=%d sends=%d refusals=%d configuration=%d %s %s",
+                        + " deadline_ms=%d sends=%d refusals=%d configuration=%d shared_parts=%s %s %s",
                 description.attemptIdentifier(),
                 route.name(),
                 clientAccount.orElse("-"),
@@ -71,6 +86,7 @@
                 result.possiblyRunAttempts(),
                 result.rejections(),
                 result.configurationVersion(),
+                formatParts(description.sharedPartIdentifiers()),
                 prefillFields,
                 routing.format());
     }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetExchange.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetExchange.java
@@ -25,6 +25,8 @@
     private Optional<HttpClientResponse> response = Optional.empty();
     private boolean sent;
     private boolean ended;
+    private boolean connectionLost;
+    private boolean delivered;
 
     /** Receives the outcome of an exchange. */
     interface Listener {
@@ -70,13 +72,13 @@
     private void send(HttpClientRequest opened, MultiMap callerHeaders, Buffer body, TargetRequest requestHead) {
         request = Optional.of(opened);
         context.targetProtocol().writeRequestHead(callerHeaders, opened.headers(), requestHead);
-        opened.exceptionHandler(cause -> fail("request: " + cause.getMessage()));
+        opened.exceptionHandler(cause -> loseConnection("request: " + cause.getMessage()));
         opened.response().onComplete(result -> {
             if (ended) {
                 return;
             }
             if (result.failed()) {
-                fail("no answer: " + result.cause().getMessage());
+                loseConnection("no answer: " + result.cause().getMessage());
             } else {
                 onResponseHead(result.result());
             }
@@ -103,7 +105,7 @@
         target.recordResponseStart(now);
         head.requests().ifPresent(requests -> target.recordReport(requests, now));
         response = Optional.of(received);
-        received.exceptionHandler(cause -> fail("answer: " + cause.getMessage()));
+        received.exceptionHandler(cause -> loseConnection("answer: " + cause.getMessage()));
         listener.onResponse(this, head, received);
     }
 
@@ -130,6 +132,11 @@
         }
     }
 
+    private void loseConnection(String cause) {
+        connectionLost = !ended;
+        fail(cause);
+    }
+
     private boolean end() {
         if (ended) {
             return false;
@@ -157,6 +164,16 @@
         return ended;
     }
 
+    /** Records that a whole event of the response has arrived. */
+    void recordDelivery() {
+        delivered = true;
+    }
+
+    /** Tells whether the connection was lost after the request may have reached the target and before any whole event. */
+    boolean lostUnanswered() {
+        return connectionLost && sent && !delivered;
+    }
+
     /** Tells whether the request may have reached the target. */
     boolean sent() {
         return sent;
