Refuse requests with a prompt part under which targets have ended

Callers of one client account ended 16 to 18 runners in 22 seconds, one after the other, and every stream on them was cut off: each request with a certain prompt part crashes the runner that begins to answer it, and instances treated each crash as a failure of the target, so the next request went to the next runner.

Cause: evidence was kept by target only, and by each instance alone. No state belonged to what the requests had in common.

The shared parts of prompts without a whole event at a crash are now counted, less the complete answers since. Instances broadcast crashes, and answers of suspected parts. At an excess of three a part is quarantined: requests that have it, and all parts that were always with it, are refused before each send with 503 and the time of the next test, so also after a prefill apart and instead of a repeat. The row of a quarantined part is in the coordination table, which instances that restart or were cut off read. One request of the fleet tests the part after 30 s, doubling to 5 min, agreed by a write on condition of the row's version; an answer releases the part everywhere.

PromptPartThatEndsRunnersTest failed before with 6 to 12 runners ended late, and passes.

--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/error/ErrorKind.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/error/ErrorKind.java
@@ -47,6 +47,12 @@
     TARGET_PROTOCOL(502, false, RunState.UNKNOWN, LogLevel.WARN, "The target's response violated the protocol."),
     NO_TARGET(503, true, RunState.NOT_RUN, LogLevel.WARN, "The service has no eligible target."),
     TARGET_REFUSED(503, true, RunState.NOT_RUN, LogLevel.INFO, "Every target refused the request before running it."),
+    PROMPT_QUARANTINED(
+            503,
+            true,
+            RunState.NOT_RUN,
+            LogLevel.WARN,
+            "Targets ended under a part of the prompt; see event=part_quarantined and event=target_crashed."),
     MEMORY_EXHAUSTED(503, true, RunState.NOT_RUN, LogLevel.WARN, "The memory budget for request bodies is exhausted."),
     CONNECTION_LIMIT(503, true, RunState.NOT_RUN, LogLevel.WARN, "The instance has too many caller connections."),
     DRAINING(503, true, RunState.NOT_RUN, LogLevel.INFO, "The instance is shutting down."),
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/CallerExchange.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/CallerExchange.java
@@ -166,8 +166,13 @@
         }
     }
 
-    /** Sends an error response. */
+    /** Sends an error response with the default time after which a request that did not run may be sent again. */
     void sendError(FireflywalkException cause) {
+        sendError(cause, Optional.empty());
+    }
+
+    /** Sends an error response. */
+    void sendError(FireflywalkException cause, Optional<Duration> retryAfter) {
         if (!finish()) {
             return;
         }
@@ -175,7 +180,7 @@
         response.setStatusCode(cause.kind().httpStatus());
         response.putHeader("content-type", "application/json");
         if (cause.kind().retryable() && cause.kind().runState() == RunState.NOT_RUN) {
-            context.callerProtocol().setRetryAfter(response.headers(), RETRY_AFTER);
+            context.callerProtocol().setRetryAfter(response.headers(), retryAfter.orElse(RETRY_AFTER));
         }
         addCloseHeader();
         JsonObject error = new JsonObject()
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/FleetCoordinator.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/FleetCoordinator.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.jboss.logging.Logger;
 
@@ -55,6 +56,7 @@
     private final RandomGenerator random;
     private final TableWatcher watcher;
     private final Map<String, Member> members = new HashMap<>();
+    private final Map<String, Consumer<FleetRow>> rowHandlers = new HashMap<>();
     private final CompositeDisposable subscriptions = new CompositeDisposable();
     private LeaseRow observedLease = new LeaseRow("", 0, 0);
     private long leaseObservedAt;
@@ -87,6 +89,11 @@
         this.leaseObservedAt = timers.monotonicNanoseconds();
     }
 
+    /** Sets the handler of the table's other rows whose keys begin with the prefix. */
+    void onRows(String prefix, Consumer<FleetRow> handler) {
+        rowHandlers.put(prefix, handler);
+    }
+
     void start() {
         watcher.start();
         writeHeartbeat();
@@ -219,6 +226,12 @@
                 onHeartbeatRow(row);
             } else if (row.key().equals(LEASE_KEY) && row.version() > observedLease.version()) {
                 onLeaseRow(row);
+            } else {
+                rowHandlers.forEach((prefix, handler) -> {
+                    if (row.key().startsWith(prefix)) {
+                        handler.accept(row);
+                    }
+                });
             }
         }
     }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressContext.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressContext.java
@@ -21,6 +21,7 @@
         PromptPlacement promptPlacement,
         PlacementBroadcaster placementBroadcaster,
         TargetCrashDetector crashDetector,
+        PromptQuarantine promptQuarantine,
         RetryBudgets retryBudgets,
         UsageCounter usageCounter,
         IngressMetrics metrics,
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
@@ -73,6 +73,7 @@
     private final FleetScaler fleetScaler;
     private final PeerDatagrams datagrams;
     private final StoreRelay storeRelay;
+    private final PromptQuarantine promptQuarantine;
     private final IngressServer server;
     private boolean draining;
 
@@ -115,8 +116,8 @@
                 timers);
         PromptPlacement promptPlacement = new PromptPlacement(RunnerLatencyModel.defaults(), random);
         this.datagrams = new PeerDatagrams(vertx);
-        PlacementBroadcaster placementBroadcaster =
-                new PlacementBroadcaster(datagrams, settings, timers, directory, coordinator, random);
+        FleetBroadcaster broadcaster = new FleetBroadcaster(datagrams, settings, coordinator, random);
+        PlacementBroadcaster placementBroadcaster = new PlacementBroadcaster(broadcaster, timers, directory);
         this.storeRelay = new StoreRelay(
                 settings,
                 datagrams,
@@ -124,8 +125,10 @@
                 timers,
                 List.of(configurationWatcher, targetWatcher, coordinator.watcher()));
         IngressMetrics metrics = new IngressMetrics(registry);
-        TargetCrashDetector crashDetector =
-                new TargetCrashDetector(timers, Connector.of(createCrashCheckClient(vertx)), metrics, crash -> {});
+        this.promptQuarantine =
+                new PromptQuarantine(settings, broadcaster, directory, coordinator, store, timers, random, metrics);
+        TargetCrashDetector crashDetector = new TargetCrashDetector(
+                timers, Connector.of(createCrashCheckClient(vertx)), metrics, promptQuarantine::onCrash);
         IngressContext context = new IngressContext(
                 settings,
                 timers,
@@ -139,6 +142,7 @@
                 promptPlacement,
                 placementBroadcaster,
                 crashDetector,
+                promptQuarantine,
                 new RetryBudgets(settings.bounds(), timers, coordinator::instanceCount),
                 usageCounter,
                 metrics,
@@ -148,6 +152,7 @@
         registry.register("targets", (Gauge<Integer>) directory::size);
         registry.register("instances", (Gauge<Integer>) coordinator::instanceCount);
         registry.register("requests_in_flight", (Gauge<Integer>) server::requestsInFlight);
+        registry.register("quarantined_parts", (Gauge<Integer>) promptQuarantine::size);
         registry.register(
                 "lease_held", (Gauge<Integer>) () -> coordinator.fencingToken().isPresent() ? 1 : 0);
     }
@@ -205,6 +210,7 @@
         fleetScaler.start();
         peerConfiguration.start();
         storeRelay.start();
+        promptQuarantine.start();
         String readiness = settings.listen().readiness();
         String callers = settings.listen().callers();
         String host = settings.instance().host();
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RemotePrefill.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RemotePrefill.java
@@ -13,7 +13,6 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 import org.jboss.logging.Logger;
 
@@ -35,6 +34,7 @@
     private final CallerExchange caller;
     private final RequestDescription description;
     private final PromptSummary summary;
+    private final RequestQuarantine quarantine;
     private final Runnable continuation;
     private Optional<TargetExchange> current = Optional.empty();
     private Optional<CacheSource> cacheSource = Optional.empty();
@@ -56,11 +56,13 @@
             CallerExchange caller,
             RequestDescription description,
             PromptSummary summary,
+            RequestQuarantine quarantine,
             Runnable continuation) {
         this.context = context;
         this.caller = caller;
         this.description = description;
         this.summary = summary;
+        this.quarantine = quarantine;
         this.continuation = continuation;
         this.stallTimer = new StallTimer(context);
     }
@@ -165,10 +167,7 @@
     public void onFailure(TargetExchange exchange, String cause) {
         stallTimer.stop();
         context.metrics().count("prompt_failures");
-        List<String> sharedParts = description.sharedPartIdentifiers();
-        if (exchange.lostUnanswered() && !sharedParts.isEmpty()) {
-            context.crashDetector().onConnectionLost(exchange.target().entry(), sharedParts);
-        }
+        quarantine.onFailure(exchange);
         recordCancelled(exchange);
         log.add(() -> "reader_failure=\"" + cause.replace('"', '\'') + '"');
         resumeRequest();
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestForwarder.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestForwarder.java
@@ -10,6 +10,7 @@
 import io.fireflywalk.core.ingress.TargetEntry.Stage;
 import io.fireflywalk.core.ingress.TargetPicker.Choice;
 import io.fireflywalk.core.ingress.TargetState;
+import io.fireflywalk.daemon.ingress.PromptQuarantine.Admission;
 import io.fireflywalk.daemon.ingress.TargetProtocol.TargetRequest;
 import io.fireflywalk.daemon.ingress.TargetProtocol.TargetResponseHead;
 import io.reactivex.rxjava3.disposables.Disposable;
@@ -18,7 +19,6 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 
@@ -53,6 +53,7 @@
     private final Set<String> excludedTargets = new HashSet<>();
     private final SseEventSplitter events = new SseEventSplitter();
     private final PromptSummary summary;
+    private final RequestQuarantine quarantine;
     private final RemotePrefill prefill;
     private final StallTimer stallTimer;
     private Optional<TargetExchange> current = Optional.empty();
@@ -62,6 +63,9 @@
     /** True if the retry budget has already been charged for the retry after an exchange that is about to fail. */
     private boolean retryCharged;
 
+    /** Time after which a refused caller may return, if it is known. */
+    private Optional<Duration> retryAfter = Optional.empty();
+
     private boolean executionStarted;
     private boolean streaming;
     private boolean finished;
@@ -87,7 +91,8 @@
                 .filter(stated -> stated.compareTo(route.timeout()) < 0)
                 .orElse(route.timeout());
         this.summary = description.summary(Math.min(LOWEST_RUNNER_PRIORITY, BASE_RUNNER_PRIORITY + route.priority()));
-        this.prefill = new RemotePrefill(context, caller, description, summary, this::dispatch);
+        this.quarantine = new RequestQuarantine(context, description);
+        this.prefill = new RemotePrefill(context, caller, description, summary, quarantine, this::dispatch);
         this.stallTimer = new StallTimer(context);
         this.log = new RequestLog(description, route, clientAccount, deadline);
     }
@@ -111,6 +116,11 @@
             onDeadline();
             return;
         }
+        Optional<Admission> refusal = quarantine.refusal();
+        if (refusal.isPresent()) {
+            refuseQuarantined(refusal.get());
+            return;
+        }
         Collection<TargetState> targets = context.directory().forService(service);
         int maximumInFlight = limits.requestsPerTarget(service);
         long now = context.timers().monotonicNanoseconds();
@@ -141,6 +151,16 @@
                         choice.get().cost(), choice.get().candidates()));
     }
 
+    private void refuseQuarantined(Admission admission) {
+        String cause = "part " + admission.refused().get() + " of the prompt has ended several targets";
+        retryAfter = Optional.of(admission.retryAfter());
+        if (streaming) {
+            abort(cause);
+        } else {
+            fail(ErrorKind.PROMPT_QUARANTINED, cause);
+        }
+    }
+
     private boolean shouldPrefillSeparately() {
         return route.kind() == RequestKind.STREAMING
                 && !executionStarted
@@ -312,6 +332,7 @@
         }
         context.metrics().firstByte(caller.elapsed().toNanos());
         context.targetProtocol().writeResponseHead(response.headers(), caller.responseHeaders());
+        quarantine.onAnswer();
         finish("answered", head.status(), true, "");
         caller.end(head.status(), body);
     }
@@ -365,6 +386,7 @@
 
     private void onCompleteResponse(TargetExchange exchange, int status) {
         exchange.complete(true);
+        quarantine.onAnswer();
         finish("answered", status, true, "");
         caller.endStream();
     }
@@ -383,7 +405,7 @@
     @Override
     public void onFailure(TargetExchange exchange, String cause) {
         stallTimer.stop();
-        reportLoss(exchange);
+        quarantine.onFailure(exchange);
         if (finished) {
             return;
         }
@@ -414,13 +436,6 @@
         }
     }
 
-    private void reportLoss(TargetExchange exchange) {
-        List<String> sharedParts = description.sharedPartIdentifiers();
-        if (exchange.lostUnanswered() && !sharedParts.isEmpty()) {
-            context.crashDetector().onConnectionLost(exchange.target().entry(), sharedParts);
-        }
-    }
-
     /**
      * Charges the retry budget if one more attempt is allowed.
      *
@@ -456,7 +471,7 @@
         ErrorKind reportedKind =
                 mayHaveRun && TargetResponseHead.impliesNotRun(kind.httpStatus()) ? ErrorKind.TARGET_FAILED : kind;
         finish(reportedKind.code(), reportedKind.httpStatus(), false, cause);
-        caller.sendError(new FireflywalkException(reportedKind, cause, "request"));
+        caller.sendError(new FireflywalkException(reportedKind, cause, "request"), retryAfter);
     }
 
     private void abort(String cause) {
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetExchange.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetExchange.java
@@ -133,7 +133,8 @@
     }
 
     private void loseConnection(String cause) {
-        connectionLost = !ended;
+        // Resetting the request after its failure reports the loss a second time.
+        connectionLost |= !ended;
         fail(cause);
     }
 
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/PlacementBroadcasterTest.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/PlacementBroadcasterTest.java
@@ -7,8 +7,6 @@
 import io.fireflywalk.core.error.FireflywalkException;
 import io.fireflywalk.core.ingress.PromptPlacement.Placement;
 import io.fireflywalk.core.ingress.PromptSummary;
-import io.fireflywalk.core.ingress.RoutingConfiguration;
-import io.fireflywalk.core.ingress.TargetEntry;
 import io.fireflywalk.core.ingress.TargetState;
 import io.fireflywalk.daemon.ingress.FleetCoordinator.Peer;
 import io.fireflywalk.daemon.ingress.FleetStore.FleetRow;
@@ -41,24 +39,6 @@
     private int messagesBetweenZones;
     private int messages;
 
-    private static final RowDecoder DECODER = new RowDecoder() {
-        @Override
-        public String configurationKey() {
-            return "config";
-        }
-
-        @Override
-        public RoutingConfiguration configuration(Buffer value) {
-            throw new UnsupportedOperationException("no configuration in this test");
-        }
-
-        @Override
-        public TargetEntry target(String key, Buffer value) {
-            return new TargetEntry(
-                    key, "service", "10.0.0.9", 80, "zone-0", 8, false, false, TargetEntry.Stage.PREFILL, 0, 1);
-        }
-    };
-
     /** An instance whose messages arrive at once. */
     private final class Instance implements PeerMessenger {
         private final String zone;
@@ -76,11 +56,12 @@
                     "10.0.0.2:1",
                     "",
                     new IngressSettings.Bounds(8, 0.2, 58, 10, 3000, 5, 4000, 4000));
-            directory = new TargetDirectory(DECODER, timers, () -> Duration.ofMinutes(1), service -> 300_000);
+            directory =
+                    new TargetDirectory(new FixedRowDecoder(), timers, () -> Duration.ofMinutes(1), service -> 300_000);
             directory.onSnapshot(List.of(new FleetRow(TARGET, 1, Optional.of(Buffer.buffer("entry")))));
             coordinator = new FleetCoordinator(settings, store, timers, new Random(name.hashCode()));
             broadcaster = new PlacementBroadcaster(
-                    this, settings, timers, directory, coordinator, new Random(name.hashCode()));
+                    new FleetBroadcaster(this, settings, coordinator, new Random(name.hashCode())), timers, directory);
         }
 
         @Override
