Apply the other targets when the decoder fails unexpectedly on one entry

Other operators saw instances that stopped following the runners after one odd entry. An unexpected error while one entry was decoded left the list of changes half applied and the version unchanged, so that the same rows were read and failed again. The entry is now ignored with an error in the log, and the others hold. TargetDirectoryTest failed before with the decoder's error.

--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetDirectory.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetDirectory.java
@@ -113,6 +113,10 @@
         } catch (FireflywalkException exception) {
             LOG.debugf("event=target_entry_ignored key=%s cause=\"%s\"", row.key(), exception.getMessage());
             remove(row.key());
+        } catch (RuntimeException exception) {
+            // Without this, one entry that raises an unexpected error would keep all later changes from being applied.
+            LOG.errorf(exception, "event=target_entry_ignored key=%s", row.key());
+            remove(row.key());
         }
     }
 
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/TargetDirectoryTest.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/TargetDirectoryTest.java
@@ -33,6 +33,9 @@
 
         @Override
         public TargetEntry target(String key, Buffer value) {
+            if (key.equals("odd")) {
+                throw new IllegalStateException("unexpected error of the decoder");
+            }
             return new TargetEntry(key, "service", "10.0.0.1", 80, "zone", 8, false, false, Stage.WHOLE, 1, 1);
         }
     };
@@ -78,4 +81,14 @@
         scheduler.advanceTimeBy(5000, TimeUnit.MILLISECONDS);
         assertEquals(1, targetCount());
     }
+
+    /** An unexpected error would otherwise have the same rows read again and again. */
+    @Test
+    void unexpectedErrorOfOneEntryDoesNotKeepTheOthersFromBeingApplied() {
+        Optional<Buffer> entry = Optional.of(Buffer.buffer("entry"));
+        directory.onSnapshot(List.of(row("a", entry), row("odd", entry), row("z", entry)));
+        assertEquals(2, targetCount());
+        directory.onChanges(List.of(row("odd", entry), row("a", Optional.empty())));
+        assertEquals(1, targetCount());
+    }
 }
