Count crashes of targets from 100 ms apart

Targets that end together, as in the loss of a zone, do so within the delay of the crash check (20 ms) and a round trip.

--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/PromptPartQuarantine.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/PromptPartQuarantine.java
@@ -30,7 +30,7 @@
     private static final int MAXIMUM_REMEMBERED_CRASHES = 64;
     /** Targets that end together have a common cause, such as the loss of a zone, and count once. */
     private static final long MINIMUM_SPACING_NANOSECONDS =
-            Duration.ofMillis(250).toNanos();
+            Duration.ofMillis(100).toNanos();
 
     private static final long SUSPICION_LIFETIME_NANOSECONDS =
             Duration.ofMinutes(1).toNanos();
