Break off a begun stream instead of writing another target's error into it

Other operators' clients found the text of an error in the middle of their streams, or streams that ended as if complete. It could happen here: after a resumable stream had broken off, any answer but a success of the next target (500, 404, a 503 without the statement of a rejection, signed or not, short or long) was collected and written into the open stream, which then ended like a complete one.

Such an answer is now a failure of its attempt, and every path that ends in an error breaks off a begun response instead. The count of attempts and retries is a class of its own.

--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/HostRoute.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/HostRoute.java
@@ -31,10 +31,18 @@
         int priority,
         List<WeightedService> services) {
 
+    private static final int BASE_RUNNER_PRIORITY = 4;
+    private static final int LOWEST_RUNNER_PRIORITY = 9;
+
     public HostRoute {
         services = List.copyOf(services);
     }
 
+    /** Returns the scheduling priority of the route's requests at runners; 0 is first and 9 last. */
+    public int runnerPriority() {
+        return Math.min(LOWEST_RUNNER_PRIORITY, BASE_RUNNER_PRIORITY + priority);
+    }
+
     /** Tells whether requests of the route may run more than once. */
     public boolean retryable() {
         return kind == RequestKind.IDEMPOTENT || (kind == RequestKind.STREAMING && resumable);
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestForwarder.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestForwarder.java
@@ -18,9 +18,7 @@
 import io.vertx.core.http.HttpClientResponse;
 import java.time.Duration;
 import java.util.Collection;
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 
 /**
  * Forwards one request, once its body is buffered: chooses targets, retries where allowed, and relays the response. A
@@ -32,16 +30,11 @@
     private static final int LONG_PROMPT_TOKENS = 1024;
     /** An attempt with less time left cannot get a response. */
     private static final Duration MINIMUM_ATTEMPT_TIME = Duration.ofMillis(15);
-    /** Limit of attempts that a target rejected or that were not sent. */
-    private static final int MAXIMUM_REJECTIONS = 3;
     /** Longer responses are passed on as they arrive, so that a body without end takes no more memory. */
     private static final int MAXIMUM_COLLECTED_BYTES = 65_536;
     /** A stream with a longer event is broken off. */
     private static final int MAXIMUM_EVENT_BYTES = 262_144;
 
-    private static final int BASE_RUNNER_PRIORITY = 4;
-    private static final int LOWEST_RUNNER_PRIORITY = 9;
-
     private final IngressContext context;
     private final TargetConcurrencyLimits limits;
     private final CallerExchange caller;
@@ -50,7 +43,7 @@
     private final Optional<String> clientAccount;
     private final String service;
     private final Duration deadline;
-    private final Set<String> excludedTargets = new HashSet<>();
+    private final RequestAttempts attempts;
     private final SseEventSplitter events = new SseEventSplitter();
     private final PromptSummary summary;
     private final RequestQuarantine quarantine;
@@ -58,11 +51,6 @@
     private final StallTimer stallTimer;
     private Optional<TargetExchange> current = Optional.empty();
     private Disposable deadlineTimer = Disposable.disposed();
-    private int possiblyRunAttempts;
-    private int rejections;
-    /** True if the retry budget has already been charged for the retry after an exchange that is about to fail. */
-    private boolean retryCharged;
-
     /** Time after which a refused caller may return, if it is known. */
     private Optional<Duration> retryAfter = Optional.empty();
 
@@ -90,7 +78,8 @@
                 .deadline()
                 .filter(stated -> stated.compareTo(route.timeout()) < 0)
                 .orElse(route.timeout());
-        this.summary = description.summary(Math.min(LOWEST_RUNNER_PRIORITY, BASE_RUNNER_PRIORITY + route.priority()));
+        this.attempts = new RequestAttempts(context.retryBudgets(), route, service);
+        this.summary = description.summary(route.runnerPriority());
         this.quarantine = new RequestQuarantine(context, description);
         this.prefill = new RemotePrefill(context, caller, description, summary, quarantine, this::dispatch);
         this.stallTimer = new StallTimer(context);
@@ -126,7 +115,13 @@
         long now = context.timers().monotonicNanoseconds();
         if (shouldPrefillSeparately()) {
             Optional<Placement> placement = context.promptPlacement()
-                    .choose(targets, excludedTargets, maximumInFlight, summary, context.availabilityZone(), now);
+                    .choose(
+                            targets,
+                            attempts.excludedTargets(),
+                            maximumInFlight,
+                            summary,
+                            context.availabilityZone(),
+                            now);
             if (placement.isPresent()) {
                 sendToPlacement(placement.get(), timeLeft);
                 return;
@@ -136,12 +131,12 @@
         Optional<Choice> choice = context.targetPicker()
                 .leastLoaded(
                         targets.stream().filter(TargetState::generates).toList(),
-                        excludedTargets,
+                        attempts.excludedTargets(),
                         maximumInFlight,
                         zone,
                         now);
         if (choice.isEmpty()) {
-            fail(rejections > 0 ? ErrorKind.TARGET_REFUSED : ErrorKind.NO_TARGET, "no target is available");
+            fail(attempts.rejections() > 0 ? ErrorKind.TARGET_REFUSED : ErrorKind.NO_TARGET, "no target is available");
             return;
         }
         sendTo(choice.get().target(), Optional.empty(), timeLeft, StallTimer.defaultTimeout(route.latencyObjective()));
@@ -154,11 +149,7 @@
     private void refuseQuarantined(Admission admission) {
         String cause = "part " + admission.refused().get() + " of the prompt has ended several targets";
         retryAfter = Optional.of(admission.retryAfter());
-        if (streaming) {
-            abort(cause);
-        } else {
-            fail(ErrorKind.PROMPT_QUARANTINED, cause);
-        }
+        fail(ErrorKind.PROMPT_QUARANTINED, cause);
     }
 
     private boolean shouldPrefillSeparately() {
@@ -230,8 +221,7 @@
         if (executionStarted) {
             return;
         }
-        if (tryChargeRetry(1)) {
-            retryCharged = true;
+        if (mayRepeat() && attempts.chargeRetryAhead()) {
             exchange.fail("silent for " + timeout.toMillis() + " ms");
         } else {
             exchange.target().recordFailure(context.timers().monotonicNanoseconds());
@@ -247,7 +237,9 @@
             onRejected(exchange, head, response);
         } else if (finished) {
             // Nobody waits for this response any more; reading it to the end keeps the connection reusable.
-            discard(exchange, response, true);
+            exchange.discard(response, true);
+        } else if (streaming && !head.success()) {
+            exchange.fail("status " + head.status() + " in place of the rest of a stream");
         } else if (head.success() && !head.signed()) {
             exchange.fail("answer without signature");
         } else if (head.success() && route.kind() == RequestKind.STREAMING) {
@@ -258,18 +250,17 @@
     }
 
     private void onRejected(TargetExchange exchange, TargetResponseHead head, HttpClientResponse response) {
-        discard(exchange, response, false);
+        exchange.discard(response, false);
         current = Optional.empty();
         exchange.target().recordRefusal(context.timers().monotonicNanoseconds());
         if (finished) {
             return;
         }
         context.metrics().count("target_refusals");
-        excludedTargets.add(exchange.target().entry().identifier());
-        rejections++;
+        boolean mayFollow = attempts.recordRejection(exchange);
         if (streaming) {
             abort("resumption rejected with status " + head.status());
-        } else if (rejections <= MAXIMUM_REJECTIONS && context.retryBudgets().trySpend(service)) {
+        } else if (mayFollow && context.retryBudgets().trySpend(service)) {
             prefill.onCacheRejected();
             dispatch();
         } else {
@@ -277,10 +268,6 @@
         }
     }
 
-    private void discard(TargetExchange exchange, HttpClientResponse response, boolean healthy) {
-        ResponseBodyReader.discard(response, context.timers(), () -> exchange.complete(healthy), exchange::cancel);
-    }
-
     private void collect(TargetExchange exchange, TargetResponseHead head, HttpClientResponse response) {
         ResponseBodyReader.collect(
                 response,
@@ -320,9 +307,9 @@
     private void onResponseBody(
             TargetExchange exchange, TargetResponseHead head, HttpClientResponse response, Buffer body) {
         markExecutionStarted();
-        possiblyRunAttempts++;
-        if (head.serverError() && tryChargeRetry(0)) {
-            excludedTargets.add(exchange.target().entry().identifier());
+        attempts.recordPossiblyRun();
+        if (head.serverError() && mayRepeat() && attempts.chargeRetry()) {
+            attempts.exclude(exchange);
             dispatch();
             return;
         }
@@ -411,11 +398,9 @@
         }
         context.metrics().count("target_failures");
         log.routing().add(() -> "failure=\"" + cause.replace('"', '\'') + '"');
-        excludedTargets.add(exchange.target().entry().identifier());
         events.discardPartial();
         if (!exchange.sent()) {
-            rejections++;
-            if (rejections <= MAXIMUM_REJECTIONS) {
+            if (attempts.recordRejection(exchange)) {
                 dispatch();
             } else {
                 fail(ErrorKind.NO_TARGET, "no connection to a target");
@@ -423,53 +408,43 @@
             return;
         }
         prefill.onCacheFetched();
-        boolean retry = retryCharged || tryChargeRetry(1);
-        retryCharged = false;
-        possiblyRunAttempts++;
-        if (retry) {
+        attempts.exclude(exchange);
+        attempts.recordPossiblyRun();
+        if (mayRepeat() && attempts.chargeRetry()) {
             context.metrics().count("target_repeats");
             dispatch();
-        } else if (streaming) {
-            abort(cause);
         } else {
             fail(ErrorKind.TARGET_FAILED, cause);
         }
     }
 
-    /**
-     * Charges the retry budget if one more attempt is allowed.
-     *
-     * @param uncounted attempts that are not yet counted in {@code possiblyRunAttempts}
-     */
-    private boolean tryChargeRetry(int uncounted) {
-        return route.retryable()
-                && possiblyRunAttempts + uncounted < route.maximumAttempts()
-                && remaining().compareTo(MINIMUM_ATTEMPT_TIME) > 0
-                && (!streaming || events.lastEventIdentifier().isPresent())
-                && context.retryBudgets().trySpend(service);
+    /** Tells whether there is time for another attempt, and whether a stream that has begun can go on there. */
+    private boolean mayRepeat() {
+        return remaining().compareTo(MINIMUM_ATTEMPT_TIME) > 0
+                && (!streaming || events.lastEventIdentifier().isPresent());
     }
 
     private void onDeadline() {
         if (finished) {
             return;
         }
-        boolean sentToTarget =
-                possiblyRunAttempts > 0 || current.filter(TargetExchange::sent).isPresent();
-        if (streaming) {
-            abort("deadline passed");
-        } else if (sentToTarget) {
-            fail(ErrorKind.DEADLINE_EXCEEDED, "the deadline passed");
-        } else {
-            fail(ErrorKind.DEADLINE_UNREACHABLE, "the deadline passed before a target took the request");
-        }
+        fail(mayHaveRun() ? ErrorKind.DEADLINE_EXCEEDED : ErrorKind.DEADLINE_UNREACHABLE, "the deadline passed");
     }
 
-    private void fail(ErrorKind kind, String cause) {
-        boolean mayHaveRun = possiblyRunAttempts > 0
+    private boolean mayHaveRun() {
+        return attempts.possiblyRun() > 0
                 || current.filter(exchange -> exchange.sent() && !exchange.ended())
                         .isPresent();
+    }
+
+    /** Answers with an error, or breaks off a response that has begun, which an error cannot follow. */
+    private void fail(ErrorKind kind, String cause) {
+        if (streaming) {
+            abort(cause);
+            return;
+        }
         ErrorKind reportedKind =
-                mayHaveRun && TargetResponseHead.impliesNotRun(kind.httpStatus()) ? ErrorKind.TARGET_FAILED : kind;
+                mayHaveRun() && TargetResponseHead.impliesNotRun(kind.httpStatus()) ? ErrorKind.TARGET_FAILED : kind;
         finish(reportedKind.code(), reportedKind.httpStatus(), false, cause);
         caller.sendError(new FireflywalkException(reportedKind, cause, "request"), retryAfter);
     }
@@ -504,8 +479,8 @@
                 cause,
                 firstByteMilliseconds,
                 caller.elapsed(),
-                possiblyRunAttempts,
-                rejections,
+                attempts.possiblyRun(),
+                attempts.rejections(),
                 context.configuration().version());
         long now = context.timers().monotonicNanoseconds();
         context.metrics()
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetExchange.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetExchange.java
@@ -116,6 +116,11 @@
         }
     }
 
+    /** Reads a response that nobody waits for, so that its connection can be used again, and completes the exchange. */
+    void discard(HttpClientResponse unwanted, boolean healthy) {
+        ResponseBodyReader.discard(unwanted, context.timers(), () -> complete(healthy), this::cancel);
+    }
+
     /** Cancels the exchange and closes its connection. */
     void cancel() {
         if (end()) {
