--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/PromptPartQuarantine.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/PromptPartQuarantine.java
@@ -61,8 +61,6 @@
      */
     public record ClearedParts(List<String> suspected, List<String> released) {}
 
-    private record TargetRun(String target, long startedAtMilliseconds) {}
-
     /** Evidence against a part. */
     private static final class Suspect {
         private final Set<TargetRun> crashes = new HashSet<>();
@@ -99,7 +97,7 @@
      */
     public List<QuarantinedPart> recordCrash(TargetCrash crash, Optional<String> reporter, long now) {
         removeExpired(now);
-        TargetRun run = new TargetRun(crash.target(), crash.startedAtMilliseconds());
+        TargetRun run = crash.run();
         Map<String, Set<String>> companionsByPart = new LinkedHashMap<>();
         for (List<String> prompt : crash.prompts()) {
             Set<String> parts = new TreeSet<>(prompt.stream()
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetCrash.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetCrash.java
@@ -14,4 +14,9 @@
     public TargetCrash {
         prompts = prompts.stream().map(List::copyOf).toList();
     }
+
+    /** Returns the process that ended. */
+    public TargetRun run() {
+        return new TargetRun(target, startedAtMilliseconds);
+    }
 }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetCrashDetector.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetCrashDetector.java
@@ -2,6 +2,7 @@
 
 import io.fireflywalk.core.ingress.TargetCrash;
 import io.fireflywalk.core.ingress.TargetEntry;
+import io.fireflywalk.core.ingress.TargetRun;
 import io.fireflywalk.services.time.TimerService;
 import io.netty.channel.ConnectTimeoutException;
 import io.reactivex.rxjava3.core.Single;
@@ -34,9 +35,6 @@
     /** Unanswered prompts of the targets that are being checked. */
     private final Map<TargetRun, List<List<String>>> pending = new HashMap<>();
 
-    /** One run of a target. */
-    private record TargetRun(String target, long startedAtMilliseconds) {}
-
     /** Opens a connection and closes it at once. */
     interface Connector {
 
