Send evidence against prompt parts in messages that their receivers accept

What callers would see: a sound part that one instance has cleared by an answer stays refused or suspected at the others until the row of the part is removed or a probe clears it; evidence of a crash under many short prompts does not reach the other instances at all.

Cause: the answer was encoded into one message, whatever its number of parts, and receivers reject more than 32. A crash was split by bytes only, and receivers reject more than 64 prompts; quotation marks and backslashes, which JSON escapes, and the brackets of a prompt were not counted. Found by reading.

Change: answers are split like crashes, both by number and by encoded bytes.

--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/PromptQuarantine.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/PromptQuarantine.java
@@ -152,7 +152,7 @@
         if (cleared.suspected().isEmpty()) {
             return;
         }
-        broadcaster.broadcast(PromptQuarantineMessages.encodeAnswer(instance, cleared.suspected()));
+        PromptQuarantineMessages.encodeAnswer(instance, cleared.suspected()).forEach(broadcaster::broadcast);
         cleared.released().forEach(part -> {
             onReleased(part, "answered");
             removeRow(part);
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/PromptQuarantineMessages.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/PromptQuarantineMessages.java
@@ -37,6 +37,8 @@
     private static final int HEAD_BYTES = 500;
     /** Quotes and a comma. */
     private static final int PART_OVERHEAD_BYTES = 3;
+    /** Brackets and a comma. */
+    private static final int LIST_OVERHEAD_BYTES = 3;
 
     private PromptQuarantineMessages() {}
 
@@ -46,16 +48,18 @@
     /** Encodes a crash in as many messages as its prompts need; a prompt that exceeds a message is left out. */
     static List<ObjectNode> encode(String sender, TargetCrash crash) {
         List<ObjectNode> messages = new ArrayList<>();
-        int bytes = PeerMessenger.MAXIMUM_BYTES;
+        int bytes = 0;
+        int count = MAXIMUM_PROMPTS;
         for (List<String> prompt : crash.prompts()) {
             List<String> parts = trackable(prompt);
-            int size = parts.stream()
-                    .mapToInt(part -> part.length() + PART_OVERHEAD_BYTES)
-                    .sum();
+            int size = LIST_OVERHEAD_BYTES
+                    + parts.stream()
+                            .mapToInt(PromptQuarantineMessages::encodedBytes)
+                            .sum();
             if (parts.isEmpty() || HEAD_BYTES + size > PeerMessenger.MAXIMUM_BYTES) {
                 continue;
             }
-            if (bytes + size > PeerMessenger.MAXIMUM_BYTES) {
+            if (count >= MAXIMUM_PROMPTS || bytes + size > PeerMessenger.MAXIMUM_BYTES) {
                 ObjectNode message = PeerMessenger.message(CRASH_TYPE)
                         .put(SENDER, sender)
                         .put(TARGET, crash.target())
@@ -63,10 +67,12 @@
                 message.putArray(PROMPTS);
                 messages.add(message);
                 bytes = HEAD_BYTES;
+                count = 0;
             }
             ArrayNode prompts = (ArrayNode) messages.get(messages.size() - 1).path(PROMPTS);
             parts.forEach(prompts.addArray()::add);
             bytes += size;
+            count++;
         }
         return messages;
     }
@@ -78,12 +84,33 @@
                 .toList();
     }
 
-    /** Encodes the answer to a request with the parts. */
-    static ObjectNode encodeAnswer(String sender, List<String> parts) {
-        ObjectNode message = PeerMessenger.message(ANSWER_TYPE).put(SENDER, sender);
-        ArrayNode encoded = message.putArray(PARTS);
-        parts.forEach(encoded::add);
-        return message;
+    /** Returns the length of a part in JSON, which escapes quotation marks and backslashes. */
+    private static int encodedBytes(String part) {
+        long escaped = part.chars()
+                .filter(character -> character == '"' || character == '\\')
+                .count();
+        return part.length() + (int) escaped + PART_OVERHEAD_BYTES;
+    }
+
+    /** Encodes the answer to a request with the parts in as many messages as the parts need. */
+    static List<ObjectNode> encodeAnswer(String sender, List<String> parts) {
+        List<ObjectNode> messages = new ArrayList<>();
+        int bytes = 0;
+        int count = MAXIMUM_PARTS;
+        for (String part : parts) {
+            int size = encodedBytes(part);
+            if (count >= MAXIMUM_PARTS || bytes + size > PeerMessenger.MAXIMUM_BYTES) {
+                ObjectNode message = PeerMessenger.message(ANSWER_TYPE).put(SENDER, sender);
+                message.putArray(PARTS);
+                messages.add(message);
+                bytes = HEAD_BYTES;
+                count = 0;
+            }
+            ((ArrayNode) messages.get(messages.size() - 1).path(PARTS)).add(part);
+            bytes += size;
+            count++;
+        }
+        return messages;
     }
 
     static String sender(JsonNode message) throws FireflywalkException {
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/PromptQuarantineTest.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/PromptQuarantineTest.java
@@ -276,12 +276,15 @@
         assertEquals(2, instance(0).coordinator.instanceCount());
     }
 
-    @Test
-    void partsOfManyLongPromptsFitIntoDatagrams() {
+    /** The quotation mark takes two bytes in JSON. */
+    @ParameterizedTest
+    @ValueSource(strings = {"a", "\""})
+    void partsOfManyLongPromptsFitIntoDatagrams(String character) {
         start(2);
         List<List<String>> prompts = new ArrayList<>();
         for (int prompt = 0; prompt < 16; prompt++) {
-            prompts.add(List.of("a".repeat(64), "b" + prompt, "c".repeat(60) + prompt, "d".repeat(64)));
+            prompts.add(List.of(
+                    character.repeat(64), "b" + prompt, character.repeat(60) + prompt, character.repeat(63) + "d"));
         }
         for (int crash = 0; crash < 3; crash++) {
             advance(Duration.ofMillis(500));
@@ -289,5 +292,27 @@
         }
         assertTrue(instance(0).refuses(prompts.get(15)));
         assertTrue(instance(1).refuses(prompts.get(15)));
+        // One prompt may consist of all these parts, more than one message holds.
+        instance(0)
+                .quarantine
+                .recordAnswer(prompts.stream().flatMap(List::stream).distinct().toList());
+        for (List<String> prompt : prompts) {
+            assertFalse(instance(1).refuses(prompt), prompt.toString());
+        }
+    }
+
+    @Test
+    void manyShortPromptsReachOtherInstances() {
+        start(2);
+        List<List<String>> prompts = IntStream.range(0, 200)
+                .mapToObj(prompt -> List.of(Integer.toString(prompt)))
+                .toList();
+        for (int crash = 0; crash < 3; crash++) {
+            advance(Duration.ofMillis(500));
+            instance(crash % 2).quarantine.onCrash(new TargetCrash("target-" + crash, 0, prompts));
+        }
+        for (List<String> prompt : prompts) {
+            assertEquals(2, refusing(prompt), prompt.toString());
+        }
     }
 }
