Bound the store calls that refused requests cause during an outage

What callers would see: nothing at first; a store that is already overloaded gets one more read for each refused request with the part.

Cause: an instance that learned of a part from others and finds no row of it looked for the row at each refusal. Only writes were spaced by three seconds; a read that failed left no mark.

Evidence: PromptQuarantineTest failed before: 100 calls for 100 requests.

Change: the look for a row counts as an attempt.

Result: at most one call in three seconds and part; PromptQuarantineTest passes.

--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/PromptQuarantine.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/PromptQuarantine.java
@@ -29,8 +29,8 @@
 final class PromptQuarantine {
     private static final Logger LOG = Logger.getLogger(PromptQuarantine.class);
     static final String ROW_PREFIX = "quarantine/";
-    /** Time between two attempts to write the row of a part. */
-    private static final Duration WRITE_RETRY_DELAY = Duration.ofSeconds(3);
+    /** Time between two attempts to write the row of a part, or to find out whether there is one. */
+    private static final Duration STORE_RETRY_DELAY = Duration.ofSeconds(3);
     /** Time in which the instance that may test a part must receive a request with it. */
     private static final Duration PROBE_VALIDITY = Duration.ofSeconds(20);
 
@@ -60,7 +60,7 @@
 
         private int probes;
         private long changedAt;
-        private long writtenAt = Long.MIN_VALUE / 2;
+        private long storeCalledAt = Long.MIN_VALUE / 2;
         private Optional<Long> probeAllowedUntil = Optional.empty();
     }
 
@@ -193,10 +193,10 @@
         long untilProbe = state.changedAt
                 + PromptPartQuarantine.probeInterval(state.probes).toNanos()
                 - now;
-        if (now - state.writtenAt > WRITE_RETRY_DELAY.toNanos()) {
+        if (now - state.storeCalledAt > STORE_RETRY_DELAY.toNanos()) {
             if (untilProbe <= 0 && state.version > 0) {
                 claimProbe(part, state);
-            } else if (state.version == 0 && now - state.changedAt > WRITE_RETRY_DELAY.toNanos()) {
+            } else if (state.version == 0 && now - state.changedAt > STORE_RETRY_DELAY.toNanos()) {
                 ensureRow(part);
             }
         }
@@ -250,6 +250,7 @@
     /** Writes the row of a part that another instance should have written, if there is none. */
     private void ensureRow(QuarantinedPart part) {
         if (rowMissing(part.part())) {
+            states.get(part.part()).storeCalledAt = timers.monotonicNanoseconds();
             readRow(part.part(), () -> writeRow(part));
         }
     }
@@ -275,7 +276,7 @@
     }
 
     private void commit(QuarantinedPart part, long expectedVersion, int probes, Consumer<Long> onWritten) {
-        states.computeIfAbsent(part.part(), name -> new PartState()).writtenAt = timers.monotonicNanoseconds();
+        states.computeIfAbsent(part.part(), name -> new PartState()).storeCalledAt = timers.monotonicNanoseconds();
         String key = ROW_PREFIX + part.part();
         var unused = store.commit(RowTransaction.empty()
                         .withPrecondition(Table.COORDINATION, key, expectedVersion)
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/PromptQuarantineTest.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/PromptQuarantineTest.java
@@ -276,6 +276,22 @@
         assertEquals(2, instance(0).coordinator.instanceCount());
     }
 
+    @Test
+    void refusedRequestsDoNotEachCallAStoreThatIsUnavailable() {
+        start(3);
+        store.unavailable = true;
+        for (int crash = 0; crash < 3; crash++) {
+            crashAt(0, DEADLY);
+            crashAt(1, DEADLY);
+        }
+        advance(Duration.ofSeconds(10));
+        int calls = store.reads;
+        for (int request = 0; request < 100; request++) {
+            assertTrue(instance(2).refuses(DEADLY));
+        }
+        assertTrue(store.reads <= calls + 1, (store.reads - calls) + " calls for 100 requests");
+    }
+
     /** The quotation mark takes two bytes in JSON. */
     @ParameterizedTest
     @ValueSource(strings = {"a", "\""})
