Keep processing an order that is submitted while a round reads its row

What was seen: AuthorityProperties failed in about one of 500 tries, "no engine order took effect after the faults had ended". The stored intent named a live process as a sender that was not closed; that process no longer processed the engine, so the holder of the lease waited for it without end.

Cause: a round that had read the row before a submission stored its intent removed the engine from the ones it processes, although the submission had added it again. If the lease was lost before the write was answered, nothing added it a third time. A round could also copy its list of engines after it had waited for writes of unknown outcome, and then miss a write in between.

Change: each submission has a number, a round removes an engine only under the number that it began with, and it fixes its list before it waits.

--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/authority/EngineOrderService.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/authority/EngineOrderService.java
@@ -54,6 +54,7 @@
     private final JitteredLoop loop;
     private final Map<String, TrackedEngine> pending = new LinkedHashMap<>();
     private final Map<String, OrderSendTracker> sendTrackers = new HashMap<>();
+    private long submissions;
 
     public EngineOrderService(
             String incarnation,
@@ -165,9 +166,11 @@
         Single<Set<String>> terminated = needsTerminated
                 ? provisioner.instances().map(terminatedInstances::update).onErrorReturnItem(Set.of())
                 : Single.just(Set.of());
+        // An order that is submitted from now on may have a write that is not waited for below.
+        List<TrackedEngine> engines = List.copyOf(pending.values());
         return intents.resolveUnknownWrites()
                 .andThen(terminated)
-                .flatMapCompletable(terminatedIncarnations -> Flowable.fromIterable(List.copyOf(pending.values()))
+                .flatMapCompletable(terminatedIncarnations -> Flowable.fromIterable(engines)
                         .flatMapCompletable(tracked -> advance(tracked, terminatedIncarnations)
                                 .doOnError(cause -> LOG.warnf(
                                         "event=order_round_failed engine=%s cause=%s",
@@ -178,8 +181,9 @@
     private Completable advance(TrackedEngine tracked, Set<String> terminatedIncarnations) {
         return intents.read(tracked.key()).flatMapCompletable(row -> {
             if (row.value().isEmpty() || row.value().get().status() != Status.PENDING) {
-                pending.remove(tracked.key());
-                sendTrackers.remove(tracked.key());
+                if (pending.remove(tracked.key(), tracked)) {
+                    sendTrackers.remove(tracked.key());
+                }
                 return Completable.complete();
             }
             EngineOrderIntent intent = row.value().get();
@@ -288,7 +292,7 @@
         boolean hasOpenSender = intent.senders().stream()
                 .anyMatch(sender -> sender.incarnation().equals(incarnation) && !sender.closed());
         if (!hasOpenSender) {
-            pending.remove(tracked.key());
+            pending.remove(tracked.key(), tracked);
             return Completable.complete();
         }
         return sendTracker.isDrained(settings.deliveryBound())
@@ -306,12 +310,18 @@
     }
 
     private void track(LeaseUnit pool, Target engine) {
-        pending.put(key(pool, engine), new TrackedEngine(key(pool, engine), pool, engine));
+        submissions++;
+        pending.put(key(pool, engine), new TrackedEngine(key(pool, engine), pool, engine, submissions));
     }
 
     private static String key(LeaseUnit pool, Target engine) {
         return pool.name() + "/" + engine.name();
     }
 
-    private record TrackedEngine(String key, LeaseUnit pool, Target engine) {}
+    /**
+     * Engine whose order is processed.
+     *
+     * @param submission differs for each submission, so that a row that was read before one does not end its processing
+     */
+    private record TrackedEngine(String key, LeaseUnit pool, Target engine, long submission) {}
 }
