Send an order for targets that is submitted while a round reads its row

What operators would see: an order for targets, or a release, is stored but not sent to the platform until the next order of that zone is submitted.

Cause: the same as that of the engine orders: a round that had read the row before the submission stored its intent stopped processing the zone. Rounds also did not wait for writes of unknown outcome.

Change: each submission has a number; a round stops processing a zone only under the number that it began with, and waits for unknown writes first.

--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/authority/TargetOrderService.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/authority/TargetOrderService.java
@@ -13,10 +13,9 @@
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Single;
-import java.util.LinkedHashSet;
-import java.util.List;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.jboss.logging.Logger;
 
@@ -35,7 +34,10 @@
     private final TargetProvisioner provisioner;
     private final MetricRegistry metrics;
     private final JitteredLoop loop;
-    private final Set<LeaseUnit> pending = new LinkedHashSet<>();
+    /** Zones whose order is processed, with the submission since which it is. */
+    private final Map<LeaseUnit, Long> pending = new LinkedHashMap<>();
+
+    private long submissions;
 
     public TargetOrderService(
             String incarnation,
@@ -73,7 +75,7 @@
 
     /** Starts processing the pending order, if any, of an availability zone that this process has just acquired. */
     public void resumePending(LeaseUnit zone) {
-        pending.add(zone);
+        track(zone);
         loop.trigger();
     }
 
@@ -85,7 +87,7 @@
     public Completable submit(Authority authority, TargetOrder order) {
         String key = authority.unit().name();
         return intents.resolveUnknownWrites().andThen(intents.read(key)).flatMapCompletable(row -> {
-            pending.add(authority.unit());
+            track(authority.unit());
             if (row.value().filter(TargetOrderIntent::awaitsOutcome).isPresent()) {
                 return Completable.error(new FireflywalkException(
                         ErrorKind.ORDER_PENDING,
@@ -109,21 +111,35 @@
     }
 
     private Completable advancePending() {
-        return Flowable.fromIterable(List.copyOf(pending))
-                .flatMapCompletable(zone -> advance(zone)
-                        .doOnError(cause -> LOG.warnf("event=order_round_failed unit=%s cause=%s", zone.key(), cause))
+        if (pending.isEmpty()) {
+            return Completable.complete();
+        }
+        // An order that is submitted from now on may have a write that is not waited for below.
+        Map<LeaseUnit, Long> zones = new LinkedHashMap<>(pending);
+        return intents.resolveUnknownWrites()
+                .andThen(Flowable.fromIterable(zones.entrySet()))
+                .flatMapCompletable(entry -> advance(entry.getKey(), entry.getValue())
+                        .doOnError(cause -> LOG.warnf(
+                                "event=order_round_failed unit=%s cause=%s",
+                                entry.getKey().key(), cause))
                         .onErrorComplete());
     }
 
-    private Completable advance(LeaseUnit zone) {
+    private void track(LeaseUnit zone) {
+        submissions++;
+        pending.put(zone, submissions);
+    }
+
+    /** Executes the order of a zone, or stops processing the zone unless there was another submission. */
+    private Completable advance(LeaseUnit zone, long submission) {
         Optional<Authority> authority = authorities.findAuthority(zone);
         if (authority.isEmpty()) {
-            pending.remove(zone);
+            pending.remove(zone, submission);
             return Completable.complete();
         }
         return intents.read(zone.name()).flatMapCompletable(row -> {
             if (row.value().filter(TargetOrderIntent::awaitsOutcome).isEmpty()) {
-                pending.remove(zone);
+                pending.remove(zone, submission);
                 return Completable.complete();
             }
             TargetOrderIntent intent = row.value().get();
