Read pending disconnects before a request is sent by a process that was paused

Cause: after a pause one round of the event loop reads the requests that have arrived and sends them at once; that a caller has closed its connection is read in the next round only. A request that must run at most once was sent even after the disconnect had been handled, because only sent requests were meant to go on without their caller.

Ruled out: one timer of a millisecond. It can end in the round that read the request; 1 to 10 of 10 requests were still sent.

Change: EventLoopMonitor tells when the event loop is late; a request is then sent after two short timers, unless its caller has left or its deadline has passed. A connection that its target closed meanwhile counts as not used.

--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressContext.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressContext.java
@@ -25,6 +25,7 @@
         RetryBudgets retryBudgets,
         UsageCounter usageCounter,
         IngressMetrics metrics,
+        EventLoopMonitor eventLoopMonitor,
         BooleanSupplier draining) {
 
     /** Returns the availability zone of this instance. */
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
@@ -74,6 +74,7 @@
     private final PeerDatagrams datagrams;
     private final StoreRelay storeRelay;
     private final PromptQuarantine promptQuarantine;
+    private final EventLoopMonitor eventLoopMonitor;
     private final IngressServer server;
     private boolean draining;
 
@@ -129,6 +130,7 @@
                 new PromptQuarantine(settings, broadcaster, directory, coordinator, store, timers, random, metrics);
         TargetCrashDetector crashDetector = new TargetCrashDetector(
                 timers, Connector.of(createCrashCheckClient(vertx)), metrics, promptQuarantine::onCrash);
+        this.eventLoopMonitor = new EventLoopMonitor(timers, metrics);
         IngressContext context = new IngressContext(
                 settings,
                 timers,
@@ -146,8 +148,13 @@
                 new RetryBudgets(settings.bounds(), timers, coordinator::instanceCount),
                 usageCounter,
                 metrics,
+                eventLoopMonitor,
                 () -> draining);
         this.server = new IngressServer(vertx, context, this::requestsPerTarget);
+        registerGauges();
+    }
+
+    private void registerGauges() {
         registry.register("configuration_version", (Gauge<Long>) configuration::version);
         registry.register("targets", (Gauge<Integer>) directory::size);
         registry.register("instances", (Gauge<Integer>) coordinator::instanceCount);
@@ -211,6 +218,7 @@
         peerConfiguration.start();
         storeRelay.start();
         promptQuarantine.start();
+        eventLoopMonitor.start();
         String readiness = settings.listen().readiness();
         String callers = settings.listen().callers();
         String host = settings.instance().host();
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestForwarder.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestForwarder.java
@@ -465,10 +465,12 @@
         deadlineTimer.dispose();
         stallTimer.stop();
         prefill.close();
-        // A request that must run at most once continues without its caller, because cancelling it would leave its
-        // outcome unknown.
+        // A request that must run at most once continues without its caller once it is sent, because cancelling it
+        // would
+        // leave its outcome unknown.
         boolean callerDisconnected = outcome.equals("caller_left");
-        if (callerDisconnected && route.kind() == RequestKind.NON_IDEMPOTENT) {
+        boolean sent = current.filter(TargetExchange::sent).isPresent();
+        if (callerDisconnected && sent && route.kind() == RequestKind.NON_IDEMPOTENT) {
             var unused = context.timers().after(remaining()).subscribe(() -> current.ifPresent(TargetExchange::cancel));
         } else {
             current.ifPresent(TargetExchange::cancel);
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetExchange.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetExchange.java
@@ -3,12 +3,14 @@
 import io.fireflywalk.core.ingress.TargetState;
 import io.fireflywalk.daemon.ingress.TargetProtocol.TargetRequest;
 import io.fireflywalk.daemon.ingress.TargetProtocol.TargetResponseHead;
+import io.reactivex.rxjava3.core.Completable;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
+import java.time.Duration;
 import java.util.Optional;
 
 /**
@@ -16,6 +18,9 @@
  * called again. Confined to one event loop.
  */
 final class TargetExchange {
+    /** Short for a caller, and long enough for the event loop to read its connections again. */
+    private static final Duration PENDING_INPUT_DELAY = Duration.ofMillis(10);
+
     private final IngressContext context;
     private final TargetState target;
     private final String attemptIdentifier;
@@ -55,20 +60,31 @@
                 .setPort(target.entry().port())
                 .setURI(uri);
         context.client().request(options).onComplete(opened -> {
-            if (ended) {
-                if (opened.succeeded()) {
-                    opened.result().reset();
-                }
-                return;
-            }
             if (opened.failed()) {
                 fail("connect: " + opened.cause().getMessage());
-                return;
+            } else if (context.eventLoopMonitor().isBehind()) {
+                // The caller may have left meanwhile, or the target closed the connection. Both are handled before the
+                // timer.
+                opened.result().exceptionHandler(cause -> fail("connect: " + cause.getMessage()));
+                var unused = context.timers()
+                        .after(PENDING_INPUT_DELAY)
+                        .andThen(Completable.defer(() -> context.timers().after(PENDING_INPUT_DELAY)))
+                        .subscribe(() -> sendUnlessEnded(opened.result(), callerHeaders, body, requestHead));
+            } else {
+                sendUnlessEnded(opened.result(), callerHeaders, body, requestHead);
             }
-            send(opened.result(), callerHeaders, body, requestHead);
         });
     }
 
+    private void sendUnlessEnded(
+            HttpClientRequest opened, MultiMap callerHeaders, Buffer body, TargetRequest requestHead) {
+        if (ended) {
+            opened.reset();
+        } else {
+            send(opened, callerHeaders, body, requestHead);
+        }
+    }
+
     private void send(HttpClientRequest opened, MultiMap callerHeaders, Buffer body, TargetRequest requestHead) {
         request = Optional.of(opened);
         context.targetProtocol().writeRequestHead(callerHeaders, opened.headers(), requestHead);
