--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetExchange.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetExchange.java
@@ -63,12 +63,8 @@
             if (opened.failed()) {
                 fail("connect: " + opened.cause().getMessage());
             } else if (context.eventLoopMonitor().isBehind()) {
-                // The caller may have left meanwhile, or the target closed the connection. Both are handled before the
-                // timer.
                 opened.result().exceptionHandler(cause -> fail("connect: " + cause.getMessage()));
-                var unused = context.timers()
-                        .after(PENDING_INPUT_DELAY)
-                        .andThen(Completable.defer(() -> context.timers().after(PENDING_INPUT_DELAY)))
+                var unused = afterPendingInput()
                         .subscribe(() -> sendUnlessEnded(opened.result(), callerHeaders, body, requestHead));
             } else {
                 sendUnlessEnded(opened.result(), callerHeaders, body, requestHead);
@@ -76,6 +72,15 @@
         });
     }
 
+    /**
+     * Completes once the event loop has read its connections again, because the caller may have left or the target may
+     * have closed the connection. The first delay may end in the round that read the request; the second one does not.
+     */
+    private Completable afterPendingInput() {
+        Completable delay = context.timers().after(PENDING_INPUT_DELAY);
+        return delay.andThen(delay);
+    }
+
     private void sendUnlessEnded(
             HttpClientRequest opened, MultiMap callerHeaders, Buffer body, TargetRequest requestHead) {
         if (ended) {
