--- a/review/1/EventWithoutEnd.java
+++ b/review/1/EventWithoutEnd.java
@@ -36,7 +36,7 @@
         deployment.route("view", "desk", "idempotent", TIMEOUT_MS, 193, 2);
         for (int index = 0; index < 2; index++) {
             boolean spoils = index == 0;
-            deployment.runner("llm", 64, "both", exchange -> stream(exchange, spoils, spoilNext, record));
+            deployment.runner("llm", 64, "decode", exchange -> stream(exchange, spoils, spoilNext, record));
             deployment.runner("desk", 6, "", exchange -> {
                 TimeUnit.MILLISECONDS.sleep(20);
                 exchange.answer("invoice");
@@ -117,7 +117,7 @@
         String attempt = Deployment.attempt();
         try (Client client = deployment.connect(TIMEOUT_MS + 4500)) {
             record.add("sent %s as a stream", attempt);
-            client.send(Deployment.request("POST", "/query/1", attempt, 3000, 4) + "body");
+            client.send(Deployment.request("POST", "/query/1", attempt, 3000, 4, Deployment.prompt(attempt)) + "body");
             Wire.Head head = client.readHead();
             record.add("stream %s: status %d, body %s", attempt, head.status(), client.readBody(head).strip().replace('\n', ' '));
         } catch (IOException lost) {
--- a/review/support/Client.java
+++ b/review/support/Client.java
@@ -14,18 +14,6 @@
     private final InputStream input;
 
     Client(String host, int port, int timeoutMilliseconds) throws IOException {
-        this(host, port, timeoutMilliseconds, 0);
-    }
-
-    /**
-     * Connects.
-     *
-     * @param receiveBytes size of the receive buffer, or 0 for the default
-     */
-    Client(String host, int port, int timeoutMilliseconds, int receiveBytes) throws IOException {
-        if (receiveBytes > 0) {
-            socket.setReceiveBufferSize(receiveBytes);
-        }
         socket.setTcpNoDelay(true);
         socket.setSoTimeout(timeoutMilliseconds);
         socket.connect(new InetSocketAddress(host, port), timeoutMilliseconds);
--- a/review/support/Deployment.java
+++ b/review/support/Deployment.java
@@ -105,10 +105,6 @@
         return new Client(host, entry.callerPort(), timeoutMilliseconds);
     }
 
-    Client connect(int timeoutMilliseconds, int receiveBytes) throws IOException {
-        return new Client(host, entry.callerPort(), timeoutMilliseconds, receiveBytes);
-    }
-
     /** Returns the head of a client's request. */
     static String request(String method, String path, String attempt, int deadlineMs, int bodyLength, String... more) {
         StringBuilder head = new StringBuilder(method + " " + path + " HTTP/1.1\r\nHost: " + HOST_NAME
@@ -123,26 +119,17 @@
         return head.append("\r\n").toString();
     }
 
-    static String attempt() {
-        return String.format("%016x", ThreadLocalRandom.current().nextLong());
-    }
-
-    Path log() {
-        return folder.resolve("front-a-1.log");
-    }
-
-    Entry entry() {
-        return entry;
+    /** Returns the headers of a short prompt for a model. */
+    static String[] prompt(String attempt) {
+        return new String[] {
+            "X-Fireflywalk-Model: m",
+            "X-Fireflywalk-Token-Counts: 291,8",
+            "X-Fireflywalk-Prompt-Prefix: 5c1e07a2:55," + attempt.substring(0, 8) + ":236"
+        };
     }
 
-    /** Starts another process in place of the entry instance, which has ended. */
-    void restart() throws IOException, InterruptedException {
-        entry = entry.restart();
-        entry.awaitReady();
-    }
-
-    Store store() {
-        return store;
+    static String attempt() {
+        return String.format("%016x", ThreadLocalRandom.current().nextLong());
     }
 
     @Override
--- a/review/support/Entry.java
+++ b/review/support/Entry.java
@@ -21,7 +21,6 @@
     static final String ZONE = "zone-a";
     private static final Pattern PLACEHOLDER = Pattern.compile("\\{\\{([A-Za-z0-9.]+)(\\|json)?}}");
 
-    private final ProcessBuilder command;
     private final Process process;
     private final String host;
     private final int callerPort;
@@ -69,30 +68,11 @@
         for (String word : run.group(1).split(" ")) {
             words.add(word.equals("/etc/fireflywalk/settings.toml") ? file.toString() : word);
         }
-        this.command = new ProcessBuilder(words)
+        process = new ProcessBuilder(words)
                 .redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.appendTo(
-                        folder.resolve(name + ".log").toFile()));
-        this.process = startProcess();
-    }
-
-    private Entry(Entry ended) throws IOException {
-        this.host = ended.host;
-        this.callerPort = ended.callerPort;
-        this.readinessPort = ended.readinessPort;
-        this.command = ended.command;
-        this.process = startProcess();
-    }
-
-    private Process startProcess() throws IOException {
-        Process process = command.start();
+                .redirectOutput(folder.resolve(name + ".log").toFile())
+                .start();
         Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
-        return process;
-    }
-
-    /** Starts a process with the same settings, after this one has ended. */
-    Entry restart() throws IOException {
-        return new Entry(this);
     }
 
     private static int freePort(String host) throws IOException {
@@ -122,18 +102,10 @@
         }
     }
 
-    String host() {
-        return host;
-    }
-
     int callerPort() {
         return callerPort;
     }
 
-    long pid() {
-        return process.pid();
-    }
-
     boolean alive() {
         return process.isAlive();
     }
@@ -143,11 +115,6 @@
         return process.isAlive() ? -1 : process.exitValue();
     }
 
-    /** Sends SIGTERM. */
-    void terminate() {
-        process.destroy();
-    }
-
     @Override
     public void close() throws InterruptedException {
         process.destroyForcibly();
--- a/review/support/Runner.java
+++ b/review/support/Runner.java
@@ -57,10 +57,6 @@
             output.flush();
         }
 
-        void write(byte[] bytes) throws IOException {
-            socket.getOutputStream().write(bytes);
-        }
-
         /** Returns the head of an answer that names the attempt. */
         String head(int status, String... headers) {
             StringBuilder text = new StringBuilder("HTTP/1.1 " + status + " Status\r\nX-Fireflywalk-Attempt-Id: "
@@ -85,16 +81,6 @@
         void close() throws IOException {
             socket.close();
         }
-
-        /** Resets the connection. */
-        void reset() throws IOException {
-            socket.setSoLinger(true, 0);
-            socket.close();
-        }
-
-        boolean closed() {
-            return socket.isClosed();
-        }
     }
 
     Runner(String host, String identifier, Script script) throws IOException {
@@ -146,10 +132,6 @@
         }
     }
 
-    String identifier() {
-        return identifier;
-    }
-
     /** Returns what the runner says of itself in the store. */
     ObjectNode entry(String service, int slots, String stage) {
         ObjectNode entry = Store.JSON
@@ -165,6 +147,7 @@
                 .put("sequence", 1);
         if (!stage.isEmpty()) {
             entry.put("stage", stage);
+            entry.putArray("models").addObject().put("name", "m").put("version", 1).putArray("adapters");
         }
         return entry;
     }
--- a/review/support/Store.java
+++ b/review/support/Store.java
@@ -49,11 +49,6 @@
         write(table, key, Base64.getEncoder().encodeToString(value.toString().getBytes(StandardCharsets.UTF_8)));
     }
 
-    synchronized void remove(String table, String key) {
-        version++;
-        write(table, key, null);
-    }
-
     private synchronized void write(String table, String key, String value) {
         ObjectNode row = JSON.createObjectNode().put("table", table).put("part", "").put("key", key);
         row.put("rowVersion", version);
