Log the place of each attempt on its connection

The logs could not tell the hypotheses apart: the target and connection of the attempts of an answered request, the identifier of a response that was taken for another request's, and messages that came without a request were not logged or only at debug level, and lines of answered requests were cut at 20 a second whatever had happened to them.

The line of a request lists its attempts with target, connection, place on the connection and status. Requests that took more than one attempt share the limit of failed ones. A response that bears another identifier, and a message without a request, are logged as warnings within a limit and counted (target_responses_mismatched, target_connection_failures). The line target_connection_closed moves from debug to warning with the same name.

No decision changes.

--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressContext.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressContext.java
@@ -13,6 +13,7 @@
         TimerService timers,
         RandomGenerator random,
         HttpClient client,
+        TargetConnectionTracker targetConnections,
         CallerProtocol callerProtocol,
         TargetProtocol targetProtocol,
         ConfigurationHolder configuration,
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
@@ -134,11 +134,13 @@
         TargetCrashDetector crashDetector = new TargetCrashDetector(
                 timers, Connector.of(createCrashCheckClient(vertx)), metrics, promptQuarantine::onCrash);
         this.eventLoopMonitor = new EventLoopMonitor(timers, metrics);
+        TargetConnectionTracker targetConnections = new TargetConnectionTracker();
         IngressContext context = new IngressContext(
                 settings,
                 timers,
                 random,
-                createTargetClient(vertx),
+                createTargetClient(vertx, targetConnections, metrics),
+                targetConnections,
                 platform.callerProtocol(),
                 platform.targetProtocol(),
                 configuration,
@@ -167,19 +169,27 @@
                 "lease_held", (Gauge<Integer>) () -> coordinator.fencingToken().isPresent() ? 1 : 0);
     }
 
-    private static HttpClient createTargetClient(Vertx vertx) {
+    private HttpClient createTargetClient(Vertx vertx, TargetConnectionTracker connections, IngressMetrics metrics) {
         return vertx.httpClientBuilder()
                 .with(new HttpClientOptions()
                         .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis())
                         .setKeepAliveTimeout(KEEP_ALIVE_SECONDS))
                 .with(new PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_TARGET))
                 // A connection that delivers anything but the response to its request must not be used again.
-                .withConnectHandler(connection -> connection.exceptionHandler(cause -> {
-                    LOG.debugf(
-                            "event=target_connection_closed address=%s cause=\"%s\"",
-                            connection.remoteAddress(), cause.getMessage());
-                    connection.close();
-                }))
+                .withConnectHandler(connection -> {
+                    connections.opened(connection);
+                    connection.exceptionHandler(cause -> {
+                        metrics.count("target_connection_failures");
+                        metrics.logUnusual(
+                                timers.monotonicNanoseconds(),
+                                () -> String.format(
+                                        "event=target_connection_closed address=%s %s cause=\"%s\"",
+                                        connection.remoteAddress(),
+                                        connections.carried(connection).format(),
+                                        cause.getMessage()));
+                        connection.close();
+                    });
+                })
                 .build();
     }
 
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressMetrics.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressMetrics.java
@@ -14,8 +14,10 @@
     private static final Logger LOG = Logger.getLogger("io.fireflywalk.request");
     /** Log lines per second for requests that a target answered. */
     private static final int ANSWERED_LINES_PER_SECOND = 20;
-    /** Log lines per second for requests that were rejected or failed. */
+    /** Log lines per second for requests that were rejected or failed, or that a target answered after another attempt. */
     private static final int FAILED_LINES_PER_SECOND = 60;
+    /** Log lines per second for what targets do that the protocol does not foresee. */
+    private static final int UNUSUAL_LINES_PER_SECOND = 20;
 
     private static final long NANOSECONDS_PER_SECOND = 1_000_000_000L;
 
@@ -25,6 +27,7 @@
     private long currentSecond;
     private int answeredLines;
     private int failedLines;
+    private int unusualLines;
     private long omittedLines;
 
     IngressMetrics(MetricRegistry registry) {
@@ -43,23 +46,43 @@
         firstByte.update(nanoseconds, TimeUnit.NANOSECONDS);
     }
 
-    /** Records the end of a request and logs it if the rate limit allows. */
-    void requestEnded(long now, long nanoseconds, String outcome, boolean answered, Supplier<String> line) {
+    /**
+     * Records the end of a request and logs it if the rate limit allows.
+     *
+     * @param plain true if the first target that the request was sent to answered it
+     */
+    void requestEnded(long now, long nanoseconds, String outcome, boolean plain, Supplier<String> line) {
         totalTime.update(nanoseconds, TimeUnit.NANOSECONDS);
         registry.counter("requests_" + outcome).inc();
-        if (now / NANOSECONDS_PER_SECOND != currentSecond) {
-            currentSecond = now / NANOSECONDS_PER_SECOND;
-            answeredLines = 0;
-            failedLines = 0;
-            if (omittedLines > 0) {
-                LOG.infof("event=lines_omitted count=%d", omittedLines);
-                omittedLines = 0;
-            }
-        }
-        if (answered ? answeredLines++ < ANSWERED_LINES_PER_SECOND : failedLines++ < FAILED_LINES_PER_SECOND) {
+        startSecond(now);
+        if (plain ? answeredLines++ < ANSWERED_LINES_PER_SECOND : failedLines++ < FAILED_LINES_PER_SECOND) {
             LOG.info(line.get());
         } else {
             omittedLines++;
         }
     }
+
+    /** Logs something that the protocol does not foresee, if the rate limit allows. */
+    void logUnusual(long now, Supplier<String> line) {
+        startSecond(now);
+        if (unusualLines++ < UNUSUAL_LINES_PER_SECOND) {
+            LOG.warn(line.get());
+        } else {
+            omittedLines++;
+        }
+    }
+
+    private void startSecond(long now) {
+        if (now / NANOSECONDS_PER_SECOND == currentSecond) {
+            return;
+        }
+        currentSecond = now / NANOSECONDS_PER_SECOND;
+        answeredLines = 0;
+        failedLines = 0;
+        unusualLines = 0;
+        if (omittedLines > 0) {
+            LOG.infof("event=lines_omitted count=%d", omittedLines);
+            omittedLines = 0;
+        }
+    }
 }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestForwarder.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestForwarder.java
@@ -233,6 +233,7 @@
     @Override
     public void onResponse(TargetExchange exchange, TargetResponseHead head, HttpClientResponse response) {
         stallTimer.stop();
+        log.addAttempt(exchange, "status=" + head.status());
         if (head.notExecuted()) {
             onRejected(exchange, head, response);
         } else if (finished) {
@@ -398,6 +399,7 @@
             return;
         }
         context.metrics().count("target_failures");
+        log.addAttempt(exchange, "failure=" + cause.replace('"', '\''));
         log.routing().add(() -> "failure=\"" + cause.replace('"', '\'') + '"');
         events.discardPartial();
         if (!exchange.sent()) {
@@ -490,7 +492,7 @@
                         context.timers().monotonicNanoseconds(),
                         result.elapsed().toNanos(),
                         outcome,
-                        answered,
+                        answered && log.attempts() <= 1,
                         () -> log.format(result, prefill.logFields()));
     }
 
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestLog.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestLog.java
@@ -5,8 +5,10 @@
 import io.fireflywalk.core.ingress.RequestDescription;
 import io.fireflywalk.core.ingress.TargetPicker.Choice;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
 /** Log line of one request with its routing decisions; formatted only if it is written. Confined to one event loop. */
@@ -19,6 +21,8 @@
     private final Optional<String> clientAccount;
     private final Duration deadline;
     private final LogFields routing = new LogFields();
+    /** A request has a few attempts, each with at most one response and one failure. */
+    private final List<Supplier<String>> attempts = new ArrayList<>();
 
     /**
      * How a request ended.
@@ -70,6 +74,16 @@
         return routing;
     }
 
+    /** Adds the response to an attempt, or its failure. */
+    void addAttempt(TargetExchange exchange, String outcome) {
+        attempts.add(() -> exchange.formatPlace() + " " + outcome);
+    }
+
+    /** Returns the number of responses to attempts and of failures of attempts. */
+    int attempts() {
+        return attempts.size();
+    }
+
     /** Returns the fields of a target that was chosen by its load. */
     static String choiceFields(Choice choice) {
         return String.format("cost=%.3f candidates=%d", choice.cost(), choice.candidates());
@@ -105,7 +119,8 @@
     String format(Result result, String prefillFields) {
         return String.format(
                 "event=request id=%s route=%s account=%s outcome=%s status=%d cause=\"%s\" first_byte_ms=%d ms=%d"
-                        + " deadline_ms=%d sends=%d refusals=%d configuration=%d shared_parts=%s %s %s",
+                        + " deadline_ms=%d sends=%d refusals=%d configuration=%d shared_parts=%s %s %s"
+                        + " attempts=\"%s\"",
                 description.attemptIdentifier(),
                 route.name(),
                 clientAccount.orElse("-"),
@@ -120,6 +135,7 @@
                 result.configurationVersion(),
                 formatParts(description.sharedPartIdentifiers()),
                 prefillFields,
-                routing.format());
+                routing.format(),
+                attempts.stream().map(Supplier::get).collect(Collectors.joining("; ")));
     }
 }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetExchange.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetExchange.java
@@ -34,6 +34,7 @@
     private Optional<HttpClientRequest> request = Optional.empty();
     private Optional<HttpClientResponse> response = Optional.empty();
     private Optional<ResponseBatcher> batcher = Optional.empty();
+    private Optional<TargetConnectionTracker.Place> place = Optional.empty();
     private boolean sent;
     private boolean ended;
     private boolean discarded;
@@ -115,6 +116,7 @@
             }
         });
         sent = true;
+        place = Optional.of(context.targetConnections().requestSent(opened.connection(), attemptIdentifier));
         if (body.length() > 0) {
             opened.putHeader("content-length", Integer.toString(body.length()));
         }
@@ -130,6 +132,16 @@
                 : head.success() || head.notExecuted();
         if (mismatched) {
             // Requests and responses on this connection no longer match, so no response on it can be trusted.
+            context.metrics().count("target_responses_mismatched");
+            context.metrics()
+                    .logUnusual(
+                            now,
+                            () -> String.format(
+                                    "event=target_response_mismatched id=%s %s status=%d response_id=%s",
+                                    attemptIdentifier,
+                                    formatPlace(),
+                                    head.status(),
+                                    head.attemptIdentifier().orElse("-")));
             fail("answer to another request");
             return;
         }
@@ -256,6 +268,16 @@
         return target;
     }
 
+    /** Formats the target and the place of the request on its connection. */
+    String formatPlace() {
+        return String.format(
+                "target=%s connection=%d ordinal=%d same_id_before=%b",
+                target.entry().identifier(),
+                place.map(TargetConnectionTracker.Place::connection).orElse(0L),
+                place.map(TargetConnectionTracker.Place::ordinal).orElse(0),
+                place.map(TargetConnectionTracker.Place::identifierRepeated).orElse(false));
+    }
+
     boolean ended() {
         return ended;
     }
