Drop extra responses of targets instead of the request in progress

What callers saw: one second response of a target, come where the next response was due, cost the request in progress its own: a POST got 502 although its response was on its way, a GET was sent again, and the target was left out for a while, which left a service with a single target without any.

Cause: the HTTP client gives the next response on a connection to the request in progress. Its identifier was compared only afterwards, when nothing could be done but to close the connection and to count a failure. A second response on an idle connection closed it too.

Change: TargetConnectionState matches responses to requests by the identifiers that both bear, and ExtraResponseFilter applies it between the codec and the HTTP client. A response that bears the identifier of an earlier request on the connection, comes without a request, or is an interim one is dropped, within 16 responses and 64 KiB for each request, and counts against nobody. A response with an identifier that the connection has not carried, or a success without one, still ends the attempt and closes the connection.

--- /dev/null
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetConnectionState.java
@@ -0,0 +1,140 @@
+package io.fireflywalk.core.ingress;
+
+import java.util.LinkedHashSet;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Matches the responses on one connection to its requests by the identifiers that both bear. A faulty target may answer a
+ * request twice, and the second response may come where the next one is due; it belongs to no request. Sends at most one
+ * request at a time. Not thread-safe.
+ */
+public final class TargetConnectionState {
+    /** A response that comes later than this many requests is no longer known as an extra one. */
+    private static final int REMEMBERED_IDENTIFIERS = 64;
+    /** Extra responses without one to the request in progress, after which the target counts as out of step. */
+    private static final int MAXIMUM_EXTRA_RESPONSES = 16;
+    /** Bytes of the bodies of such responses. */
+    private static final int MAXIMUM_EXTRA_BYTES = 65_536;
+
+    private static final int STATUS_CONTINUE = 100;
+    private static final int STATUS_SWITCHING_PROTOCOLS = 101;
+    private static final int STATUS_OK = 200;
+
+    private final long number;
+    private final Set<String> identifiers = new LinkedHashSet<>();
+    private Optional<String> current = Optional.empty();
+    private Phase phase = Phase.IDLE;
+    private boolean discarding;
+    private int requests;
+    private int extraResponses;
+    private int extraBytes;
+
+    /** What the connection waits for. */
+    private enum Phase {
+        /** For a request. */
+        IDLE,
+        /** For the head of the response to the request in progress. */
+        HEAD,
+        /** For the end of that response. */
+        BODY
+    }
+
+    /** What to do with a part of a response. */
+    public enum Decision {
+        /** The part belongs to the request in progress. */
+        DELIVER,
+        /** The part belongs to no request; the connection remains usable. */
+        DISCARD,
+        /** The target has sent too much that belongs to no request. */
+        CLOSE
+    }
+
+    /**
+     * Creates the state of a new connection.
+     *
+     * @param number number of the connection in this process, from 1
+     */
+    public TargetConnectionState(long number) {
+        this.number = number;
+    }
+
+    // Events
+
+    /**
+     * Records that the head of a request is sent.
+     *
+     * @param identifier identifier that the response will bear, if the request has one
+     */
+    public void requestSent(Optional<String> identifier) {
+        current = identifier;
+        phase = Phase.HEAD;
+        requests++;
+        extraResponses = 0;
+        extraBytes = 0;
+        identifier.ifPresent(this::remember);
+    }
+
+    private void remember(String identifier) {
+        identifiers.remove(identifier);
+        identifiers.add(identifier);
+        if (identifiers.size() > REMEMBERED_IDENTIFIERS) {
+            identifiers.remove(identifiers.iterator().next());
+        }
+    }
+
+    /**
+     * Decides about a response by its head. A response without an identifier, or with one that this connection has not
+     * carried, is delivered: it may answer the request in progress, and who sent that decides whether to trust it.
+     */
+    public Decision responseHead(int status, Optional<String> identifier) {
+        boolean extra = isInterim(status) || phase != Phase.HEAD || isForEarlierRequest(identifier);
+        if (!extra) {
+            phase = Phase.BODY;
+            return Decision.DELIVER;
+        }
+        discarding = true;
+        extraResponses++;
+        return extraResponses > MAXIMUM_EXTRA_RESPONSES ? Decision.CLOSE : Decision.DISCARD;
+    }
+
+    private boolean isForEarlierRequest(Optional<String> identifier) {
+        return identifier.isPresent() && !identifier.equals(current) && identifiers.contains(identifier.get());
+    }
+
+    /** Tells whether a status is that of an interim response, which no request here asks for. */
+    private static boolean isInterim(int status) {
+        return status >= STATUS_CONTINUE && status < STATUS_OK && status != STATUS_SWITCHING_PROTOCOLS;
+    }
+
+    /** Decides about a part of the body of the response whose head came last. */
+    public Decision responseBody(int bytes) {
+        if (!discarding) {
+            return Decision.DELIVER;
+        }
+        extraBytes += bytes;
+        return extraBytes > MAXIMUM_EXTRA_BYTES ? Decision.CLOSE : Decision.DISCARD;
+    }
+
+    /** Records the end of the response whose head came last. */
+    public void responseEnd() {
+        if (discarding) {
+            discarding = false;
+        } else if (phase == Phase.BODY) {
+            phase = Phase.IDLE;
+            current = Optional.empty();
+        }
+    }
+
+    // Queries
+
+    /** Returns the number of the connection in this process. */
+    public long number() {
+        return number;
+    }
+
+    /** Returns the number of requests that the connection has carried. */
+    public int requests() {
+        return requests;
+    }
+}
--- /dev/null
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/ExtraResponseFilter.java
@@ -0,0 +1,108 @@
+package io.fireflywalk.daemon.ingress;
+
+import io.fireflywalk.core.ingress.TargetConnectionState;
+import io.fireflywalk.core.ingress.TargetConnectionState.Decision;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Takes responses that belong to no request out of a connection to a target, before the HTTP client gives them to the
+ * request that waits there. Confined to the event loop of the connection.
+ */
+final class ExtraResponseFilter extends ChannelDuplexHandler {
+    private static final Set<HttpResponseStatus> BODILESS =
+            Set.of(HttpResponseStatus.NO_CONTENT, HttpResponseStatus.NOT_MODIFIED);
+
+    private final TargetConnectionState state;
+    private final String identifierHeader;
+    private final Listener listener;
+
+    /** Learns of extra responses. */
+    interface Listener {
+
+        /** Called with the head of a response that belongs to no request. */
+        void onExtraResponse(int status, Optional<String> identifier);
+    }
+
+    /**
+     * Creates the filter of one connection.
+     *
+     * @param identifierHeader header with the identifier that a response repeats from its request
+     */
+    ExtraResponseFilter(TargetConnectionState state, String identifierHeader, Listener listener) {
+        this.state = state;
+        this.identifierHeader = identifierHeader;
+        this.listener = listener;
+    }
+
+    @Override
+    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) throws Exception {
+        if (message instanceof HttpRequest request) {
+            state.requestSent(identifier(request.headers()));
+        }
+        super.write(context, message, promise);
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+        Decision decision = decide(message);
+        if (decision == Decision.DELIVER) {
+            super.channelRead(context, message);
+            return;
+        }
+        ReferenceCountUtil.release(message);
+        if (decision == Decision.CLOSE) {
+            var unused = context.close();
+        }
+    }
+
+    private Decision decide(Object message) {
+        if (message instanceof HttpObject part && part.decoderResult().isFailure()) {
+            // These bytes are no response; the HTTP client reports them.
+            return Decision.DELIVER;
+        }
+        if (message instanceof HttpResponse response) {
+            Optional<String> identifier = identifier(response.headers());
+            Decision decision = state.responseHead(response.status().code(), identifier);
+            if (decision == Decision.DELIVER) {
+                return decision;
+            }
+            listener.onExtraResponse(response.status().code(), identifier);
+            return endsConnection(response) ? Decision.CLOSE : decision;
+        }
+        if (message instanceof HttpContent content) {
+            Decision decision = state.responseBody(content.content().readableBytes());
+            if (content instanceof LastHttpContent) {
+                state.responseEnd();
+            }
+            return decision;
+        }
+        return Decision.DELIVER;
+    }
+
+    /** Tells whether no other response can follow on the connection. */
+    private static boolean endsConnection(HttpResponse response) {
+        boolean framed = HttpUtil.isContentLengthSet(response)
+                || HttpUtil.isTransferEncodingChunked(response)
+                || BODILESS.contains(response.status())
+                || response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        return !framed || !HttpUtil.isKeepAlive(response);
+    }
+
+    private Optional<String> identifier(HttpHeaders headers) {
+        return Optional.ofNullable(headers.get(identifierHeader));
+    }
+}
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
@@ -134,12 +134,13 @@
         TargetCrashDetector crashDetector = new TargetCrashDetector(
                 timers, Connector.of(createCrashCheckClient(vertx)), metrics, promptQuarantine::onCrash);
         this.eventLoopMonitor = new EventLoopMonitor(timers, metrics);
-        TargetConnectionTracker targetConnections = new TargetConnectionTracker();
+        TargetConnectionTracker targetConnections = new TargetConnectionTracker(
+                timers, metrics, platform.targetProtocol().attemptIdentifierHeader());
         IngressContext context = new IngressContext(
                 settings,
                 timers,
                 random,
-                createTargetClient(vertx, targetConnections, metrics),
+                createTargetClient(vertx, targetConnections),
                 targetConnections,
                 platform.callerProtocol(),
                 platform.targetProtocol(),
@@ -169,27 +170,13 @@
                 "lease_held", (Gauge<Integer>) () -> coordinator.fencingToken().isPresent() ? 1 : 0);
     }
 
-    private HttpClient createTargetClient(Vertx vertx, TargetConnectionTracker connections, IngressMetrics metrics) {
+    private static HttpClient createTargetClient(Vertx vertx, TargetConnectionTracker connections) {
         return vertx.httpClientBuilder()
                 .with(new HttpClientOptions()
                         .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis())
                         .setKeepAliveTimeout(KEEP_ALIVE_SECONDS))
                 .with(new PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_TARGET))
-                // A connection that delivers anything but the response to its request must not be used again.
-                .withConnectHandler(connection -> {
-                    connections.opened(connection);
-                    connection.exceptionHandler(cause -> {
-                        metrics.count("target_connection_failures");
-                        metrics.logUnusual(
-                                timers.monotonicNanoseconds(),
-                                () -> String.format(
-                                        "event=target_connection_closed address=%s %s cause=\"%s\"",
-                                        connection.remoteAddress(),
-                                        connections.carried(connection).format(),
-                                        cause.getMessage()));
-                        connection.close();
-                    });
-                })
+                .withConnectHandler(connections::opened)
                 .build();
     }
 
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetConnectionTracker.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetConnectionTracker.java
@@ -1,62 +1,77 @@
 package io.fireflywalk.daemon.ingress;
 
+import io.fireflywalk.core.ingress.TargetConnectionState;
+import io.fireflywalk.services.time.TimerService;
 import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.impl.HttpClientConnectionInternal;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 
 /**
- * Open connections to targets, numbered, with what each has carried. A response is matched to a request by its place on a
- * connection, so a response that is out of place can only be traced with these figures. Bounded by the connections that
- * are open. Confined to one event loop.
+ * State of the open connections to targets. Bounded by the connections that are open. Confined to one event loop.
  */
 final class TargetConnectionTracker {
-    private final Map<HttpConnection, Carried> connections = new HashMap<>();
-    private long lastNumber;
+    private static final String FILTER = "extra-response-filter";
 
-    /** What a connection has carried. */
-    static final class Carried {
-        private final long number;
-        private int requests;
-        private String lastIdentifier = "-";
-
-        private Carried(long number) {
-            this.number = number;
-        }
-
-        /** Formats the connection, the requests that it has carried, and the identifier of the last of them. */
-        String format() {
-            return String.format(
-                    "connection=%d requests_on_connection=%d last_id=%s", number, requests, lastIdentifier);
-        }
-    }
+    private final Map<HttpConnection, TargetConnectionState> connections = new HashMap<>();
+    private final TimerService timers;
+    private final IngressMetrics metrics;
+    private final String identifierHeader;
+    private long lastNumber;
 
     /**
-     * The place of a request on its connection.
+     * Creates a tracker without connections.
      *
-     * @param connection number of the connection
-     * @param ordinal number of the request on the connection, from 1
-     * @param identifierRepeated true if the request before it bore the same identifier, so that the response to it cannot
-     *     be told from a late response to this request
+     * @param identifierHeader header with the identifier that a response repeats from its request
      */
-    record Place(long connection, int ordinal, boolean identifierRepeated) {}
+    TargetConnectionTracker(TimerService timers, IngressMetrics metrics, String identifierHeader) {
+        this.timers = timers;
+        this.metrics = metrics;
+        this.identifierHeader = identifierHeader;
+    }
 
-    /** Starts to follow a connection until it is closed. */
+    /** Follows a new connection until it is closed, and takes responses out of it that belong to no request. */
     void opened(HttpConnection connection) {
-        connections.put(connection, new Carried(++lastNumber));
+        TargetConnectionState state = new TargetConnectionState(++lastNumber);
+        connections.put(connection, state);
         connection.closeHandler(ignored -> connections.remove(connection));
+        connection.exceptionHandler(cause -> onInvalidMessage(connection, state, cause));
+        // The HTTP client has no public hook between its codec and the request that waits for a response.
+        var context = ((HttpClientConnectionInternal) connection).channelHandlerContext();
+        context.pipeline()
+                .addBefore(
+                        context.name(),
+                        FILTER,
+                        new ExtraResponseFilter(
+                                state,
+                                identifierHeader,
+                                (status, identifier) -> onExtraResponse(connection, state, status, identifier)));
+    }
+
+    private void onExtraResponse(
+            HttpConnection connection, TargetConnectionState state, int status, Optional<String> identifier) {
+        metrics.count("target_extra_responses");
+        metrics.logUnusual(
+                timers.monotonicNanoseconds(),
+                () -> String.format(
+                        "event=target_extra_response address=%s connection=%d requests_on_connection=%d status=%d response_id=%s",
+                        connection.remoteAddress(), state.number(), state.requests(), status, identifier.orElse("-")));
     }
 
-    /** Records that a request is sent. */
-    Place requestSent(HttpConnection connection, String identifier) {
-        Carried carried = connections.getOrDefault(connection, new Carried(0));
-        boolean repeated = carried.lastIdentifier.equals(identifier);
-        carried.requests++;
-        carried.lastIdentifier = identifier;
-        return new Place(carried.number, carried.requests, repeated);
+    /** A connection that has delivered anything but responses must not be used again. */
+    private void onInvalidMessage(HttpConnection connection, TargetConnectionState state, Throwable cause) {
+        metrics.count("target_connection_failures");
+        metrics.logUnusual(
+                timers.monotonicNanoseconds(),
+                () -> String.format(
+                        "event=target_connection_closed address=%s connection=%d requests_on_connection=%d cause=\"%s\"",
+                        connection.remoteAddress(), state.number(), state.requests(), cause.getMessage()));
+        var unused = connection.close();
     }
 
-    /** Returns what an open connection has carried. */
-    Carried carried(HttpConnection connection) {
-        return connections.getOrDefault(connection, new Carried(0));
+    /** Returns the state of an open connection; nothing if it has been closed meanwhile. */
+    Optional<TargetConnectionState> state(HttpConnection connection) {
+        return Optional.ofNullable(connections.get(connection));
     }
 }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetExchange.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetExchange.java
@@ -34,7 +34,8 @@
     private Optional<HttpClientRequest> request = Optional.empty();
     private Optional<HttpClientResponse> response = Optional.empty();
     private Optional<ResponseBatcher> batcher = Optional.empty();
-    private Optional<TargetConnectionTracker.Place> place = Optional.empty();
+    private long connection;
+    private int ordinal;
     private boolean sent;
     private boolean ended;
     private boolean discarded;
@@ -116,7 +117,10 @@
             }
         });
         sent = true;
-        place = Optional.of(context.targetConnections().requestSent(opened.connection(), attemptIdentifier));
+        context.targetConnections().state(opened.connection()).ifPresent(state -> {
+            connection = state.number();
+            ordinal = state.requests() + 1;
+        });
         if (body.length() > 0) {
             opened.putHeader("content-length", Integer.toString(body.length()));
         }
@@ -271,11 +275,7 @@
     /** Formats the target and the place of the request on its connection. */
     String formatPlace() {
         return String.format(
-                "target=%s connection=%d ordinal=%d same_id_before=%b",
-                target.entry().identifier(),
-                place.map(TargetConnectionTracker.Place::connection).orElse(0L),
-                place.map(TargetConnectionTracker.Place::ordinal).orElse(0),
-                place.map(TargetConnectionTracker.Place::identifierRepeated).orElse(false));
+                "target=%s connection=%d ordinal=%d", target.entry().identifier(), connection, ordinal);
     }
 
     boolean ended() {
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetProtocol.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetProtocol.java
@@ -9,6 +9,9 @@
 /** Codec of messages to and from targets. Stateless. */
 public interface TargetProtocol {
 
+    /** Returns the name of the header with the caller's attempt, which a target repeats in its responses. */
+    String attemptIdentifierHeader();
+
     /** Copies the caller's headers that a target may see, and adds those that the ingress sets. */
     void writeRequestHead(MultiMap callerHeaders, MultiMap targetHeaders, TargetRequest request);
 
