Send an attempt over no connection that has carried its identifier

What callers saw: a success where the target had answered with a failure, if a caller repeats a request under the same identifier. The target sends its first response, a success, a second time where the response to the repetition is due, and the repetition itself fails.

Cause: the identifier is the caller's. Two attempts that bear the same one are told apart by nothing but their connection, and both went over the same kept one.

An attempt whose identifier is among them closes the connection and opens another one, so that a response with its identifier can only be the response to it.

--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetConnectionState.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetConnectionState.java
@@ -128,6 +128,14 @@
 
     // Queries
 
+    /**
+     * Tells whether a request with this identifier can be sent. If the connection has carried the identifier, a late
+     * second response to the earlier request could not be told from the response to this one.
+     */
+    public boolean accepts(String identifier) {
+        return !discarding && !identifiers.contains(identifier);
+    }
+
     /** Returns the number of the connection in this process. */
     public long number() {
         return number;
--- a/fireflywalk-core/src/test/java/io/fireflywalk/core/ingress/TargetConnectionStateProperties.java
+++ b/fireflywalk-core/src/test/java/io/fireflywalk/core/ingress/TargetConnectionStateProperties.java
@@ -1,6 +1,7 @@
 package io.fireflywalk.core.ingress;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.fireflywalk.core.ingress.TargetConnectionState.Decision;
@@ -37,11 +38,13 @@
                 assertEquals(Decision.DISCARD, respond(state, 200, Optional.of(sent.get(sent.size() - 1))));
             }
             String identifier = "attempt-" + sent.size();
+            assertTrue(state.accepts(identifier));
             state.requestSent(Optional.of(identifier));
             for (int late : copies) {
                 if (late < sent.size()) {
                     String earlier = sent.get(sent.size() - 1 - late);
                     assertEquals(Decision.DISCARD, respond(state, 200, Optional.of(earlier)));
+                    assertFalse(state.accepts(earlier));
                 }
             }
             assertEquals(Decision.DELIVER, respond(state, 200, Optional.of(identifier)));
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetExchange.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetExchange.java
@@ -8,6 +8,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import java.time.Duration;
@@ -68,9 +69,21 @@
                 .setHost(target.entry().host())
                 .setPort(target.entry().port())
                 .setURI(uri);
+        open(options, callerHeaders, body, requestHead);
+    }
+
+    private void open(RequestOptions options, MultiMap callerHeaders, Buffer body, TargetRequest requestHead) {
         context.client().request(options).onComplete(opened -> {
             if (opened.failed()) {
                 fail("connect: " + opened.cause().getMessage());
+            } else if (!carriesOnlyOnce(opened.result().connection())) {
+                opened.result()
+                        .exceptionHandler(cause -> LOG.debugf("event=unsent_request_reset id=%s", attemptIdentifier));
+                opened.result().reset();
+                opened.result()
+                        .connection()
+                        .close()
+                        .onComplete(closed -> open(options, callerHeaders, body, requestHead));
             } else if (context.eventLoopMonitor().isBehind()) {
                 opened.result().exceptionHandler(cause -> fail("connect: " + cause.getMessage()));
                 var unused = afterPendingInput()
@@ -81,6 +94,14 @@
         });
     }
 
+    /** Tells whether a response on the connection that bears this attempt's identifier can only be the response to it. */
+    private boolean carriesOnlyOnce(HttpConnection opened) {
+        return context.targetConnections()
+                .state(opened)
+                .filter(state -> !state.accepts(attemptIdentifier))
+                .isEmpty();
+    }
+
     /**
      * Completes once the event loop has read its connections again, because the caller may have left or the target may
      * have closed the connection. The first delay may end in the round that read the request; the second one does not.
