Reuse connections only to plain targets that name the attempt in run

What callers saw: a caller of a plain service behind run got the response to another caller's request, with status 200. The target had answered the earlier request a second time, late, on a connection that was in use again.

A response without an attempt identifier was accepted on any connection, and plain services need not repeat it.

Change: TargetConnections opens a connection for each request to a plain target until a response of that target names its attempt. From then on connections are reused, and a response without the identifier on a reused one fails the attempt. Engines must name the attempt already, so nothing changes for them.

Evidence: callerGetsNoSecondResponseToAnEarlierRequest, 2 of 12 cases failed before (expected entry-1 but was entry-0, POST on both kinds of routes); all pass now, with the 149 others of the three contract tests of the gateway.

--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/TargetAttempt.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/TargetAttempt.java
@@ -22,6 +22,7 @@
     private final boolean cancellable;
     private final Listener listener;
     private final String attemptId = UUID.randomUUID().toString();
+    private final boolean connectionReused;
     private final IdleTimer timer;
     private Optional<HttpClientRequest> request = Optional.empty();
     private String waitingFor = "connection";
@@ -50,6 +51,7 @@
         this.index = index;
         this.cancellable = cancellable;
         this.listener = listener;
+        this.connectionReused = context.connections().reuses(target, cancellable);
         this.timer = new IdleTimer(context.timers(), this::timedOut);
     }
 
@@ -57,7 +59,7 @@
     void start(HttpMethod method, String uri, boolean idempotent, Duration headerTimeout) {
         timer.start(Duration.ofMillis(context.settings().targets().connectMilliseconds()));
         context.connections()
-                .open(target, method, uri, idempotent)
+                .open(target, method, uri, idempotent, connectionReused)
                 .onSuccess(openedRequest -> connected(openedRequest, headerTimeout))
                 .onFailure(cause -> fail(ErrorKind.TARGET_FAILED, "no connection to the target", cause));
     }
@@ -79,6 +81,11 @@
         return attemptId;
     }
 
+    /** Returns whether the connection may have carried other requests, so that a response must name this attempt. */
+    boolean connectionReused() {
+        return connectionReused;
+    }
+
     /** Returns whether any byte of the request may have been sent. */
     boolean requestSent() {
         return requestSent;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/TargetCall.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/TargetCall.java
@@ -199,8 +199,13 @@
         int status = response.statusCode();
         boolean overloaded = status == TOO_MANY_REQUESTS || status == UNAVAILABLE;
         boolean rejected = overloaded && "false".equals(response.getHeader(ADMITTED_HEADER));
+        if (echoed != null && echoed.equals(attempt.attemptId()) && !targetsAreEngines()) {
+            context.connections().recordNaming(attempt.target());
+        }
         if (echoed != null && !echoed.equals(attempt.attemptId())) {
             attempt.fail(ErrorKind.TARGET_PROTOCOL, "the target sent the answer to another request", null);
+        } else if (echoed == null && attempt.connectionReused() && !targetsAreEngines()) {
+            attempt.fail(ErrorKind.TARGET_PROTOCOL, "the answer names no attempt", null);
         } else if (rejected) {
             applyEvent(attempt, AttemptEvent.REFUSED);
             attempt.fail(ErrorKind.TARGET_REFUSED, "the target refused the request", null);
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/TargetConnections.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/TargetConnections.java
@@ -13,7 +13,9 @@
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import java.time.Duration;
+import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.WeakHashMap;
 import org.jboss.logging.Logger;
 
@@ -30,7 +32,14 @@
     private static final int MILLISECONDS_PER_SECOND = 1000;
     private static final long CANCEL_TIMEOUT_MILLISECONDS = 1000;
 
+    /** Bounds the targets that are known to name attempts; the oldest ones are forgotten and learned again. */
+    private static final int MAXIMUM_NAMING_TARGETS = 20_000;
+
     private final HttpClient client;
+    private final HttpClient singleUseClient;
+    /** Names of the plain targets whose responses name the attempt. */
+    private final Set<String> namingTargets = new LinkedHashSet<>();
+
     private final TimerService timers;
     private final long reuseIdleLimitNanoseconds;
     /** Time of the last response per pooled connection; weak keys let entries of closed connections be collected. */
@@ -41,14 +50,20 @@
         this.reuseIdleLimitNanoseconds =
                 Duration.ofMillis(settings.reuseIdleMilliseconds()).toNanos();
         int idleSeconds = (int) Math.max(1, settings.idlePooledMilliseconds() / MILLISECONDS_PER_SECOND);
+        this.client = createClient(vertx, settings, idleSeconds, true);
+        this.singleUseClient = createClient(vertx, settings, idleSeconds, false);
+    }
+
+    private static HttpClient createClient(Vertx vertx, TargetSettings settings, int idleSeconds, boolean reuse) {
         HttpClientOptions options = new HttpClientOptions()
                 .setConnectTimeout((int) settings.connectMilliseconds())
+                .setKeepAlive(reuse)
                 .setKeepAliveTimeout(idleSeconds);
         PoolOptions pool = new PoolOptions()
                 .setHttp1MaxSize(CONNECTIONS_PER_TARGET)
                 .setMaxWaitQueueSize(MAXIMUM_WAITING_REQUESTS)
                 .setCleanerPeriod(POOL_CLEANER_PERIOD_MILLISECONDS);
-        this.client = vertx.httpClientBuilder()
+        return vertx.httpClientBuilder()
                 .with(options)
                 .with(pool)
                 .withConnectHandler(connection -> connection.exceptionHandler(
@@ -58,14 +73,33 @@
                 .build();
     }
 
-    /** Opens or reuses a connection. Nothing is sent before the returned request is written to. */
-    Future<HttpClientRequest> open(Target target, HttpMethod method, String uri, boolean idempotent) {
+    /**
+     * Tells whether connections to the target carry more than one request. Those to a plain target do only once its
+     * responses have named their attempts: nothing else tells the response to a request from a late second response to
+     * the request before it.
+     */
+    boolean reuses(Target target, boolean engine) {
+        return engine || namingTargets.contains(target.name());
+    }
+
+    /** Records that a response of a plain target named its attempt. */
+    void recordNaming(Target target) {
+        if (namingTargets.add(target.name()) && namingTargets.size() > MAXIMUM_NAMING_TARGETS) {
+            namingTargets.remove(namingTargets.iterator().next());
+        }
+    }
+
+    /**
+     * Opens a connection, or reuses one if {@code reuse} is true. Nothing is sent before the returned request is written
+     * to.
+     */
+    Future<HttpClientRequest> open(Target target, HttpMethod method, String uri, boolean idempotent, boolean reuse) {
         RequestOptions options = new RequestOptions()
                 .setMethod(method)
                 .setHost(target.host())
                 .setPort(target.port())
                 .setURI(uri);
-        return client.request(options).compose(request -> {
+        return (reuse ? client : singleUseClient).request(options).compose(request -> {
             if (idempotent || !idleBeyondReuseLimit(request.connection())) {
                 return Future.succeededFuture(request);
             }
@@ -74,7 +108,7 @@
             return request.reset()
                     .otherwiseEmpty()
                     .compose(ignored -> connection.close())
-                    .transform(ignored -> open(target, method, uri, false));
+                    .transform(ignored -> open(target, method, uri, false, reuse));
         });
     }
 
