Close connections on which an extra response cannot be dropped safely

A review of the change that drops extra responses showed ways in which a caller waited to its deadline, where it got 502 at once before: an extra response that is cut short takes the bytes of the next one for its own (504 after 3,009 ms); one that comes before the response to a HEAD request uses up what the codec knows of that request (504 after 3,004 ms); a 101 that names the request.

Change: an extra response ends within 100 ms, or its connection is closed. So is a connection that has carried a HEAD request, and one on which a 101, or without a request a response with an unknown identifier or none arrives. A connection that cannot carry an attempt is closed without an unsent reset, which handed it to the next request in the queue of the pool. Identifiers are kept as hash codes, since callers choose their length. An attempt that has not ended is listed in the request's line, and a reset on an idle connection is no warning any more.

--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetConnectionState.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetConnectionState.java
@@ -6,8 +6,8 @@
 
 /**
  * Matches the responses on one connection to its requests by the identifiers that both bear. A faulty target may answer a
- * request twice, and the second response may come where the next one is due; it belongs to no request. Sends at most one
- * request at a time. Not thread-safe.
+ * request twice, and the second response may come where the next one is due; it belongs to no request. A connection
+ * carries one request at a time. Not thread-safe.
  */
 public final class TargetConnectionState {
     /** A response that comes later than this many requests is no longer known as an extra one. */
@@ -17,15 +17,17 @@
     /** Bytes of the bodies of such responses. */
     private static final int MAXIMUM_EXTRA_BYTES = 65_536;
 
-    private static final int STATUS_CONTINUE = 100;
     private static final int STATUS_SWITCHING_PROTOCOLS = 101;
     private static final int STATUS_OK = 200;
 
     private final long number;
-    private final Set<String> identifiers = new LinkedHashSet<>();
+    /** Hash codes of identifiers, whose length callers choose; two equal ones only cost a connection. */
+    private final Set<Integer> identifiers = new LinkedHashSet<>();
+
     private Optional<String> current = Optional.empty();
     private Phase phase = Phase.IDLE;
     private boolean discarding;
+    private boolean carriedBodiless;
     private int requests;
     private int extraResponses;
     private int extraBytes;
@@ -65,9 +67,11 @@
      * Records that the head of a request is sent.
      *
      * @param identifier identifier that the response will bear, if the request has one
+     * @param bodiless true if the response has no body whatever its head says, as that to a HEAD request
      */
-    public void requestSent(Optional<String> identifier) {
+    public void requestSent(Optional<String> identifier, boolean bodiless) {
         current = identifier;
+        carriedBodiless |= bodiless;
         phase = Phase.HEAD;
         requests++;
         extraResponses = 0;
@@ -76,8 +80,8 @@
     }
 
     private void remember(String identifier) {
-        identifiers.remove(identifier);
-        identifiers.add(identifier);
+        identifiers.remove(identifier.hashCode());
+        identifiers.add(identifier.hashCode());
         if (identifiers.size() > REMEMBERED_IDENTIFIERS) {
             identifiers.remove(identifiers.iterator().next());
         }
@@ -85,26 +89,24 @@
 
     /**
      * Decides about a response by its head. A response without an identifier, or with one that this connection has not
-     * carried, is delivered: it may answer the request in progress, and who sent that decides whether to trust it.
+     * carried, is delivered to the request in progress: it may be the response to it, and who sent the request decides
+     * whether to trust it. Without a request in progress, such a response closes the connection.
      */
     public Decision responseHead(int status, Optional<String> identifier) {
-        boolean extra = isInterim(status) || phase != Phase.HEAD || isForEarlierRequest(identifier);
-        if (!extra) {
+        boolean known =
+                identifier.isPresent() && identifiers.contains(identifier.get().hashCode());
+        boolean copy = known && !identifier.equals(current);
+        if (phase == Phase.HEAD && !copy && status >= STATUS_OK) {
             phase = Phase.BODY;
             return Decision.DELIVER;
         }
         discarding = true;
         extraResponses++;
-        return extraResponses > MAXIMUM_EXTRA_RESPONSES ? Decision.CLOSE : Decision.DISCARD;
-    }
-
-    private boolean isForEarlierRequest(Optional<String> identifier) {
-        return identifier.isPresent() && !identifier.equals(current) && identifiers.contains(identifier.get());
-    }
-
-    /** Tells whether a status is that of an interim response, which no request here asks for. */
-    private static boolean isInterim(int status) {
-        return status >= STATUS_CONTINUE && status < STATUS_OK && status != STATUS_SWITCHING_PROTOCOLS;
+        boolean interim = status < STATUS_OK && status != STATUS_SWITCHING_PROTOCOLS;
+        // After a HEAD request it is not known whether the codec looks for a body in the right response.
+        return !(known || interim) || carriedBodiless || extraResponses > MAXIMUM_EXTRA_RESPONSES
+                ? Decision.CLOSE
+                : Decision.DISCARD;
     }
 
     /** Decides about a part of the body of the response whose head came last. */
@@ -130,10 +132,11 @@
 
     /**
      * Tells whether a request with this identifier can be sent. If the connection has carried the identifier, a late
-     * second response to the earlier request could not be told from the response to this one.
+     * second response to the earlier request could not be told from the response to this one. Neither can one be sent
+     * while a response is discarded, which may have been cut short.
      */
     public boolean accepts(String identifier) {
-        return !discarding && !identifiers.contains(identifier);
+        return !discarding && !identifiers.contains(identifier.hashCode());
     }
 
     /** Returns the number of the connection in this process. */
--- a/fireflywalk-core/src/test/java/io/fireflywalk/core/ingress/TargetConnectionStateProperties.java
+++ b/fireflywalk-core/src/test/java/io/fireflywalk/core/ingress/TargetConnectionStateProperties.java
@@ -21,7 +21,9 @@
 
     private static Decision respond(TargetConnectionState state, int status, Optional<String> identifier) {
         Decision decision = state.responseHead(status, identifier);
-        assertEquals(decision, state.responseBody(1));
+        if (decision != Decision.CLOSE) {
+            assertEquals(decision, state.responseBody(1));
+        }
         state.responseEnd();
         return decision;
     }
@@ -39,7 +41,7 @@
             }
             String identifier = "attempt-" + sent.size();
             assertTrue(state.accepts(identifier));
-            state.requestSent(Optional.of(identifier));
+            state.requestSent(Optional.of(identifier), false);
             for (int late : copies) {
                 if (late < sent.size()) {
                     String earlier = sent.get(sent.size() - 1 - late);
@@ -56,19 +58,19 @@
     void responseThatMayAnswerTheRequestIsDelivered(
             @ForAll @IntRange(min = 200, max = 599) int status, @ForAll @WithNull(0.5) String unknown) {
         TargetConnectionState state = new TargetConnectionState(1);
-        state.requestSent(Optional.of("attempt"));
+        state.requestSent(Optional.of("attempt"), false);
         Optional<String> identifier = Optional.ofNullable(unknown);
         assertEquals(Decision.DELIVER, respond(state, status, identifier));
         // The request has its response, so the same one again belongs to none.
-        assertEquals(Decision.DISCARD, respond(state, status, identifier));
+        assertEquals(Decision.CLOSE, respond(state, status, identifier));
     }
 
     @Property
     void extraResponsesWithoutEndCloseTheConnection(@ForAll @IntRange(min = 1, max = MAXIMUM_EXTRA_BYTES) int bytes) {
         TargetConnectionState state = new TargetConnectionState(1);
-        state.requestSent(Optional.of("first"));
+        state.requestSent(Optional.of("first"), false);
         respond(state, 200, Optional.of("first"));
-        state.requestSent(Optional.of("second"));
+        state.requestSent(Optional.of("second"), false);
         int responses = 0;
         int total = 0;
         Decision decision = Decision.DISCARD;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/ExtraResponseFilter.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/ExtraResponseFilter.java
@@ -2,11 +2,13 @@
 
 import io.fireflywalk.core.ingress.TargetConnectionState;
 import io.fireflywalk.core.ingress.TargetConnectionState.Decision;
+import io.fireflywalk.services.time.TimerService;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -15,6 +17,8 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.reactivex.rxjava3.disposables.Disposable;
+import java.time.Duration;
 import java.util.Optional;
 import java.util.Set;
 
@@ -26,9 +30,14 @@
     private static final Set<HttpResponseStatus> BODILESS =
             Set.of(HttpResponseStatus.NO_CONTENT, HttpResponseStatus.NOT_MODIFIED);
 
+    /** An extra response that lasts longer was cut short, and would take the bytes of the next response for its own. */
+    private static final Duration MAXIMUM_EXTRA_TIME = Duration.ofMillis(100);
+
     private final TargetConnectionState state;
+    private final TimerService timers;
     private final String identifierHeader;
     private final Listener listener;
+    private Disposable extraTimeout = Disposable.disposed();
 
     /** Learns of extra responses. */
     interface Listener {
@@ -42,8 +51,9 @@
      *
      * @param identifierHeader header with the identifier that a response repeats from its request
      */
-    ExtraResponseFilter(TargetConnectionState state, String identifierHeader, Listener listener) {
+    ExtraResponseFilter(TargetConnectionState state, TimerService timers, String identifierHeader, Listener listener) {
         this.state = state;
+        this.timers = timers;
         this.identifierHeader = identifierHeader;
         this.listener = listener;
     }
@@ -51,7 +61,7 @@
     @Override
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) throws Exception {
         if (message instanceof HttpRequest request) {
-            state.requestSent(identifier(request.headers()));
+            state.requestSent(identifier(request.headers()), request.method().equals(HttpMethod.HEAD));
         }
         super.write(context, message, promise);
     }
@@ -59,6 +69,14 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
         Decision decision = decide(message);
+        if (message instanceof LastHttpContent) {
+            extraTimeout.dispose();
+        } else if (decision == Decision.DISCARD && message instanceof HttpResponse) {
+            extraTimeout.dispose();
+            extraTimeout = timers.after(MAXIMUM_EXTRA_TIME).subscribe(() -> {
+                var unused = context.close();
+            });
+        }
         if (decision == Decision.DELIVER) {
             super.channelRead(context, message);
             return;
@@ -69,6 +87,12 @@
         }
     }
 
+    @Override
+    public void channelInactive(ChannelHandlerContext context) throws Exception {
+        extraTimeout.dispose();
+        super.channelInactive(context);
+    }
+
     private Decision decide(Object message) {
         if (message instanceof HttpObject part && part.decoderResult().isFailure()) {
             // These bytes are no response; the HTTP client reports them.
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressMetrics.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressMetrics.java
@@ -16,8 +16,8 @@
     private static final int ANSWERED_LINES_PER_SECOND = 20;
     /** Log lines per second for requests that were rejected or failed, or that a target answered after another attempt. */
     private static final int FAILED_LINES_PER_SECOND = 60;
-    /** Log lines per second for what targets do that the protocol does not foresee. */
-    private static final int UNUSUAL_LINES_PER_SECOND = 20;
+    /** Log lines per second for faults of targets. */
+    private static final int FAULT_LINES_PER_SECOND = 20;
 
     private static final long NANOSECONDS_PER_SECOND = 1_000_000_000L;
 
@@ -27,7 +27,7 @@
     private long currentSecond;
     private int answeredLines;
     private int failedLines;
-    private int unusualLines;
+    private int faultLines;
     private long omittedLines;
 
     IngressMetrics(MetricRegistry registry) {
@@ -49,23 +49,23 @@
     /**
      * Records the end of a request and logs it if the rate limit allows.
      *
-     * @param plain true if the first target that the request was sent to answered it
+     * @param atFirstAttempt true if the first target that the request was sent to answered it
      */
-    void requestEnded(long now, long nanoseconds, String outcome, boolean plain, Supplier<String> line) {
+    void requestEnded(long now, long nanoseconds, String outcome, boolean atFirstAttempt, Supplier<String> line) {
         totalTime.update(nanoseconds, TimeUnit.NANOSECONDS);
         registry.counter("requests_" + outcome).inc();
         startSecond(now);
-        if (plain ? answeredLines++ < ANSWERED_LINES_PER_SECOND : failedLines++ < FAILED_LINES_PER_SECOND) {
+        if (atFirstAttempt ? answeredLines++ < ANSWERED_LINES_PER_SECOND : failedLines++ < FAILED_LINES_PER_SECOND) {
             LOG.info(line.get());
         } else {
             omittedLines++;
         }
     }
 
-    /** Logs something that the protocol does not foresee, if the rate limit allows. */
-    void logUnusual(long now, Supplier<String> line) {
+    /** Logs a fault of a target that costs no request, or not only one, if the rate limit allows. */
+    void logFault(long now, Supplier<String> line) {
         startSecond(now);
-        if (unusualLines++ < UNUSUAL_LINES_PER_SECOND) {
+        if (faultLines++ < FAULT_LINES_PER_SECOND) {
             LOG.warn(line.get());
         } else {
             omittedLines++;
@@ -79,7 +79,7 @@
         currentSecond = now / NANOSECONDS_PER_SECOND;
         answeredLines = 0;
         failedLines = 0;
-        unusualLines = 0;
+        faultLines = 0;
         if (omittedLines > 0) {
             LOG.infof("event=lines_omitted count=%d", omittedLines);
             omittedLines = 0;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestForwarder.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestForwarder.java
@@ -274,6 +274,9 @@
                 response,
                 MAXIMUM_COLLECTED_BYTES,
                 body -> {
+                    if (exchange.ended()) {
+                        return;
+                    }
                     exchange.complete(!head.serverError() || head.signed());
                     if (!finished) {
                         onResponseBody(exchange, head, response, body);
@@ -471,6 +474,8 @@
 
     private void finish(String outcome, int status, boolean answered, String cause) {
         finished = true;
+        current.filter(exchange -> exchange.sent() && !exchange.ended())
+                .ifPresent(exchange -> log.addAttempt(exchange, "unfinished"));
         deadlineTimer.dispose();
         stallTimer.stop();
         prefill.close();
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetConnectionTracker.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetConnectionTracker.java
@@ -4,14 +4,17 @@
 import io.fireflywalk.services.time.TimerService;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.impl.HttpClientConnectionInternal;
+import java.io.IOException;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.jboss.logging.Logger;
 
 /**
  * State of the open connections to targets. Bounded by the connections that are open. Confined to one event loop.
  */
 final class TargetConnectionTracker {
+    private static final Logger LOG = Logger.getLogger(TargetConnectionTracker.class);
     private static final String FILTER = "extra-response-filter";
 
     private final Map<HttpConnection, TargetConnectionState> connections = new HashMap<>();
@@ -36,7 +39,7 @@
         TargetConnectionState state = new TargetConnectionState(++lastNumber);
         connections.put(connection, state);
         connection.closeHandler(ignored -> connections.remove(connection));
-        connection.exceptionHandler(cause -> onInvalidMessage(connection, state, cause));
+        connection.exceptionHandler(cause -> onFailure(connection, state, cause));
         // The HTTP client has no public hook between its codec and the request that waits for a response.
         var context = ((HttpClientConnectionInternal) connection).channelHandlerContext();
         context.pipeline()
@@ -45,6 +48,7 @@
                         FILTER,
                         new ExtraResponseFilter(
                                 state,
+                                timers,
                                 identifierHeader,
                                 (status, identifier) -> onExtraResponse(connection, state, status, identifier)));
     }
@@ -52,7 +56,7 @@
     private void onExtraResponse(
             HttpConnection connection, TargetConnectionState state, int status, Optional<String> identifier) {
         metrics.count("target_extra_responses");
-        metrics.logUnusual(
+        metrics.logFault(
                 timers.monotonicNanoseconds(),
                 () -> String.format(
                         "event=target_extra_response address=%s connection=%d requests_on_connection=%d status=%d response_id=%s",
@@ -60,9 +64,14 @@
     }
 
     /** A connection that has delivered anything but responses must not be used again. */
-    private void onInvalidMessage(HttpConnection connection, TargetConnectionState state, Throwable cause) {
+    private void onFailure(HttpConnection connection, TargetConnectionState state, Throwable cause) {
+        if (cause instanceof IOException) {
+            LOG.debugf("event=target_connection_lost connection=%d cause=\"%s\"", state.number(), cause.getMessage());
+            var unused = connection.close();
+            return;
+        }
         metrics.count("target_connection_failures");
-        metrics.logUnusual(
+        metrics.logFault(
                 timers.monotonicNanoseconds(),
                 () -> String.format(
                         "event=target_connection_closed address=%s connection=%d requests_on_connection=%d cause=\"%s\"",
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetExchange.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetExchange.java
@@ -76,14 +76,8 @@
         context.client().request(options).onComplete(opened -> {
             if (opened.failed()) {
                 fail("connect: " + opened.cause().getMessage());
-            } else if (!carriesOnlyOnce(opened.result().connection())) {
-                opened.result()
-                        .exceptionHandler(cause -> LOG.debugf("event=unsent_request_reset id=%s", attemptIdentifier));
-                opened.result().reset();
-                opened.result()
-                        .connection()
-                        .close()
-                        .onComplete(closed -> open(options, callerHeaders, body, requestHead));
+            } else if (!canCarry(opened.result().connection())) {
+                replaceConnection(opened.result(), () -> open(options, callerHeaders, body, requestHead));
             } else if (context.eventLoopMonitor().isBehind()) {
                 opened.result().exceptionHandler(cause -> fail("connect: " + cause.getMessage()));
                 var unused = afterPendingInput()
@@ -94,8 +88,18 @@
         });
     }
 
+    /** Closes a connection that is not used, without handing it to another request, and goes on after that. */
+    private void replaceConnection(HttpClientRequest unsent, Runnable next) {
+        unsent.exceptionHandler(cause -> LOG.debugf("event=target_connection_replaced id=%s", attemptIdentifier));
+        unsent.connection().close().onComplete(closed -> {
+            if (!ended) {
+                next.run();
+            }
+        });
+    }
+
     /** Tells whether a response on the connection that bears this attempt's identifier can only be the response to it. */
-    private boolean carriesOnlyOnce(HttpConnection opened) {
+    private boolean canCarry(HttpConnection opened) {
         return context.targetConnections()
                 .state(opened)
                 .filter(state -> !state.accepts(attemptIdentifier))
@@ -159,7 +163,7 @@
             // Requests and responses on this connection no longer match, so no response on it can be trusted.
             context.metrics().count("target_responses_mismatched");
             context.metrics()
-                    .logUnusual(
+                    .logFault(
                             now,
                             () -> String.format(
                                     "event=target_response_mismatched id=%s %s status=%d response_id=%s",
