Take no signed failure without an identifier for the answer of a request

Cause: only successes and rejections had to name the attempt.

Change: whatever is signed must name it. Unsigned failures without an identifier still end the attempt as before; they reach no caller.

Evidence: signedFailureWithoutAnIdentifierIsNotTheAnswerOfARequest, two cases, passes now.

--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetExchange.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetExchange.java
@@ -155,10 +155,10 @@
     private void onResponseHead(HttpClientResponse received) {
         long now = context.timers().monotonicNanoseconds();
         TargetResponseHead head = context.targetProtocol().readResponseHead(received.statusCode(), received.headers());
-        // A rejection must name the attempt as well: it may be the second copy of an earlier one.
+        // A rejection and a signed failure must name the attempt as well: they may belong to an earlier one.
         boolean mismatched = head.attemptIdentifier().isPresent()
                 ? !head.attemptIdentifier().get().equals(attemptIdentifier)
-                : head.success() || head.notExecuted();
+                : head.success() || head.notExecuted() || head.signed();
         if (mismatched) {
             // Requests and responses on this connection no longer match, so no response on it can be trusted.
             context.metrics().count("target_responses_mismatched");
