Believe no rejection of an engine that names no attempt in run

Cause: the rejection was read before the identifier was asked for; and a target counted as naming its attempts for ever, on new connections too.

Change: an unnamed rejection of an engine, and an unnamed response on a connection that has carried other requests, fail the attempt without a word on whether it ran. A plain target is forgotten at its first unnamed response.

--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/TargetAttempt.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/TargetAttempt.java
@@ -22,7 +22,7 @@
     private final boolean cancellable;
     private final Listener listener;
     private final String attemptId = UUID.randomUUID().toString();
-    private final boolean connectionReused;
+    private boolean connectionCarriedOthers;
     private final IdleTimer timer;
     private Optional<HttpClientRequest> request = Optional.empty();
     private String waitingFor = "connection";
@@ -51,7 +51,6 @@
         this.index = index;
         this.cancellable = cancellable;
         this.listener = listener;
-        this.connectionReused = context.connections().reuses(target, cancellable);
         this.timer = new IdleTimer(context.timers(), this::timedOut);
     }
 
@@ -59,7 +58,7 @@
     void start(HttpMethod method, String uri, boolean idempotent, Duration headerTimeout) {
         timer.start(Duration.ofMillis(context.settings().targets().connectMilliseconds()));
         context.connections()
-                .open(target, method, uri, idempotent, connectionReused)
+                .open(target, method, uri, idempotent, context.connections().reuses(target, cancellable))
                 .onSuccess(openedRequest -> connected(openedRequest, headerTimeout))
                 .onFailure(cause -> fail(ErrorKind.TARGET_FAILED, "no connection to the target", cause));
     }
@@ -81,9 +80,9 @@
         return attemptId;
     }
 
-    /** Returns whether the connection may have carried other requests, so that a response must name this attempt. */
-    boolean connectionReused() {
-        return connectionReused;
+    /** Returns whether the connection has carried other requests, so that a response must name this attempt. */
+    boolean connectionCarriedOthers() {
+        return connectionCarriedOthers;
     }
 
     /** Returns whether any byte of the request may have been sent. */
@@ -177,6 +176,7 @@
         }
         request = Optional.of(openedRequest);
         requestSent = true;
+        connectionCarriedOthers = context.connections().carriedRequests(openedRequest.connection());
         waitingFor = "the head of the answer";
         timer.start(headerTimeout);
         openedRequest
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/TargetCall.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/TargetCall.java
@@ -199,19 +199,21 @@
         int status = response.statusCode();
         boolean overloaded = status == TOO_MANY_REQUESTS || status == UNAVAILABLE;
         boolean rejected = overloaded && "false".equals(response.getHeader(ADMITTED_HEADER));
-        if (echoed != null && echoed.equals(attempt.attemptId()) && !targetsAreEngines()) {
-            context.connections().recordNaming(attempt.target());
+        boolean unnamed = echoed == null;
+        if (!targetsAreEngines()) {
+            context.connections().recordNaming(attempt.target(), !unnamed);
         }
-        if (echoed != null && !echoed.equals(attempt.attemptId())) {
+        if (!unnamed && !echoed.equals(attempt.attemptId())) {
             attempt.fail(ErrorKind.TARGET_PROTOCOL, "the target sent the answer to another request", null);
-        } else if (echoed == null && attempt.connectionReused() && !targetsAreEngines()) {
+        } else if (unnamed && (attempt.connectionCarriedOthers() || (rejected && targetsAreEngines()))) {
+            // It may be a second response to an earlier request.
             attempt.fail(ErrorKind.TARGET_PROTOCOL, "the answer names no attempt", null);
         } else if (rejected) {
             applyEvent(attempt, AttemptEvent.REFUSED);
             attempt.fail(ErrorKind.TARGET_REFUSED, "the target refused the request", null);
         } else if (idempotent && canRetry() && (overloaded || status >= 500)) {
             attempt.fail(ErrorKind.TARGET_FAILED, "the target answered with status " + status, null);
-        } else if (targetsAreEngines() && echoed == null) {
+        } else if (targetsAreEngines() && unnamed) {
             attempt.fail(ErrorKind.TARGET_PROTOCOL, "the answer names no attempt", null);
         } else if (targetsAreEngines() && (overloaded || status >= 500)) {
             attempt.fail(ErrorKind.TARGET_FAILED, "the target answered with status " + status, null);
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/TargetConnections.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/TargetConnections.java
@@ -82,13 +82,20 @@
         return engine || namingTargets.contains(target.name());
     }
 
-    /** Records that a response of a plain target named its attempt. */
-    void recordNaming(Target target) {
-        if (namingTargets.add(target.name()) && namingTargets.size() > MAXIMUM_NAMING_TARGETS) {
+    /** Records whether a response of a plain target named its attempt. */
+    void recordNaming(Target target, boolean named) {
+        if (!named) {
+            namingTargets.remove(target.name());
+        } else if (namingTargets.add(target.name()) && namingTargets.size() > MAXIMUM_NAMING_TARGETS) {
             namingTargets.remove(namingTargets.iterator().next());
         }
     }
 
+    /** Tells whether a connection has carried a request before. */
+    boolean carriedRequests(HttpConnection connection) {
+        return idleSince.containsKey(connection);
+    }
+
     /**
      * Opens a connection, or reuses one if {@code reuse} is true. Nothing is sent before the returned request is written
      * to.
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/gateway/ModelFaultContractTest.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/gateway/ModelFaultContractTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against truncated streams, repeated tokens, responses delivered to the wrong caller and requests without end
@@ -55,6 +56,20 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {429, 503})
+    void rejectionThatNamesNoAttemptIsNotReportedAsNotRun(int status) throws Exception {
+        try (FaultServer engine = new FaultServer(log, (number, request, connection) -> {
+                    connection.write("HTTP/1.1 " + status + " Status\r\nx-engine-admitted: false\r\n"
+                            + "content-length: 2\r\n\r\n{}");
+                    return true;
+                });
+                GatewayFixture gateway = GatewayFixture.start("", engine.port())) {
+            HttpResponse<String> response = gateway.post(COMPLETIONS_PATH, REQUEST);
+            assertFalse(response.body().contains("NOT_RUN"), response.body());
+        }
+    }
+
     @ParameterizedTest
     @EnumSource
     void resumesBrokenStreamWithoutMissingOrRepeatedToken(ScriptedEngine.StreamFault fault) throws Exception {
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/gateway/PlainFaultContractTest.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/gateway/PlainFaultContractTest.java
@@ -266,6 +266,21 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"/billing", "/status"})
+    void targetThatNamesOnlySomeAttemptsIsServedOn(String path) throws Exception {
+        try (FaultServer target = new FaultServer(new FaultServer.Log(), (number, request, connection) -> {
+                    connection.write(response(request, number == 3));
+                    return true;
+                });
+                GatewayFixture gateway = GatewayFixture.start("", target.port())) {
+            for (int request = 0; request < 8; request++) {
+                HttpResponse<String> response = gateway.post(path, "entry-" + request);
+                assertEquals("entry-" + request, response.body());
+            }
+        }
+    }
+
     /** Returns a response that repeats the body of the request. */
     private static String response(FaultServer.Request request, boolean namesAttempt) {
         return "HTTP/1.1 200 OK\r\n" + (namesAttempt ? "x-attempt-id: " + request.attemptId() + "\r\n" : "")
