Count a request's own prompt part when runners end under it

Callers saw 502 and broken streams: one client repeated a request that ended its runner each time, nine runners in 17 s, and in the end 36 logged requests, most of them sound, were refused with 503 for the part that they shared with it.

Cause: RequestDescription.sharedPartIdentifiers leaves out the last part of a prompt, and RequestQuarantine counted and checked nothing else. The last part is the only thing that tells that a repeat, which has a new identifier, is the same request; sound answers cleared the shared parts meanwhile.

Change: all parts are evidence and are checked before each send. Crashes that follow each other within 100 ms count for a request's own part, because a request is at one runner at a time. Two tests of PromptPartQuarantineTest give their prompts an own part, since the last part of a prompt is its own now; their bounds are the same.

--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/PromptPartQuarantine.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/PromptPartQuarantine.java
@@ -14,7 +14,8 @@
 /**
  * Finds prompt parts that end the targets which begin to answer them, and refuses requests with such a part. A part is
  * quarantined once targets have ended under it {@value #MINIMUM_CRASHES} times more often than requests with it were
- * answered. Prompts that were only waiting at the same targets are cleared by their next answers. Not thread-safe.
+ * answered. A request's own part counts as well, because its caller may repeat it. Prompts that were only waiting at the
+ * same targets are cleared by their next answers. Not thread-safe.
  */
 public final class PromptPartQuarantine {
     /** Sound parts that are seldom asked for may be waiting at two targets that end without an answer between them. */
@@ -112,10 +113,13 @@
                         .retainAll(others);
             }
         }
+        Set<String> ownParts = crash.ownParts();
         List<QuarantinedPart> added = new ArrayList<>();
         companionsByPart.forEach((part, companions) -> {
             Suspect suspect = suspect(part);
-            if (!count(suspect, run, reporter, companions, now)) {
+            // A request is at one target at a time, so its own part does not end targets together.
+            long spacing = ownParts.contains(part) ? 0 : MINIMUM_SPACING_NANOSECONDS;
+            if (!count(suspect, run, reporter, companions, spacing, now)) {
                 return;
             }
             if (!suspect.quarantined && suspect.excessCrashes >= MINIMUM_CRASHES && quarantined < MAXIMUM_QUARANTINED) {
@@ -128,7 +132,7 @@
     }
 
     private static boolean count(
-            Suspect suspect, TargetRun run, Optional<String> reporter, Set<String> companions, long now) {
+            Suspect suspect, TargetRun run, Optional<String> reporter, Set<String> companions, long spacing, long now) {
         boolean first = suspect.excessCrashes == 0;
         int reported = reporter.map(name -> suspect.crashesByReporter.getOrDefault(name, 0))
                 .orElse(0);
@@ -144,7 +148,7 @@
         } else {
             suspect.companions.retainAll(companions);
         }
-        if (!first && now - suspect.lastCrashAt < MINIMUM_SPACING_NANOSECONDS) {
+        if (!first && now - suspect.lastCrashAt < spacing) {
             return false;
         }
         suspect.lastCrashAt = now;
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/RequestDescription.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/RequestDescription.java
@@ -32,6 +32,11 @@
                 .toList();
     }
 
+    /** Returns the identifiers of all parts; a caller's repeat of the request has the same ones. */
+    public List<String> partIdentifiers() {
+        return promptParts.stream().map(PromptPart::identifier).toList();
+    }
+
     /** Returns the part that ends the longest shared prefix, which is the one before the request's own part. */
     public Optional<PromptPart> sharedPart() {
         return promptParts.size() < 2 ? Optional.empty() : Optional.of(promptParts.get(promptParts.size() - 2));
--- a/fireflywalk-core/src/test/java/io/fireflywalk/core/ingress/PromptPartQuarantineTest.java
+++ b/fireflywalk-core/src/test/java/io/fireflywalk/core/ingress/PromptPartQuarantineTest.java
@@ -54,7 +54,11 @@
         "'a x,a x,a x', a x, true",
         "'a x,a x,a x', x, false",
         "'a x,a x,a x,+a b', c x, true",
-        "'a x,a x,a x,c x', d x, true"
+        "'a x,a x,a x,c x', d x, true",
+        // A request that a client repeats, between sound ones with its shared part.
+        "'a own,+a b,a own,+a c,a own', a own, true",
+        "'a own,+a b,a own,+a c,a own', a d, false",
+        "'a own,a own,a own', a d, false"
     })
     void requestsAreRefusedForWhatAllCrashesHaveInCommon(String steps, String request, boolean refused) {
         int step = 0;
@@ -80,12 +84,22 @@
         "1, 2, 3, 61000, false"
     })
     void crashesCountIfTheyAreDistinct(int first, int second, int third, long millisecondsApart, boolean refused) {
-        crash(first, SECOND, "x");
-        crash(second, SECOND + millisecondsApart * MILLISECOND, "x");
-        crash(third, SECOND + 2 * millisecondsApart * MILLISECOND, "x");
+        crash(first, SECOND, "x own-1");
+        crash(second, SECOND + millisecondsApart * MILLISECOND, "x own-2");
+        crash(third, SECOND + 2 * millisecondsApart * MILLISECOND, "x own-3");
         assertEquals(refused, refuses("x"));
     }
 
+    @ParameterizedTest
+    @CsvSource({"1, true", "50, true", "61000, false"})
+    void repeatsOfOneRequestCountHoweverSoonTheyFollow(int millisecondsApart, boolean refused) {
+        for (int target = 1; target <= 3; target++) {
+            crash(target, SECOND + (long) target * millisecondsApart * MILLISECOND, "x own");
+        }
+        assertEquals(refused, refuses("x own"));
+        assertFalse(refuses("x other"));
+    }
+
     @ParameterizedTest
     @CsvSource({"1, false", "2, true"})
     void reportsOfOneOtherInstanceDoNotQuarantineAPart(int reporters, boolean refused) {
@@ -183,7 +197,7 @@
             for (int request = 0; request < 220; request++) {
                 long now = request * 100L * MILLISECOND;
                 boolean deadly = random.nextInt(20) == 0;
-                List<String> parts = List.of(deadly ? "deadly" : "part-" + random.nextInt(63));
+                List<String> parts = List.of(deadly ? "deadly" : "part-" + random.nextInt(63), "own-" + request);
                 boolean refused = each.refusalOf(parts).isPresent();
                 sound += deadly ? 0 : 1;
                 refusedSound += !deadly && refused ? 1 : 0;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/PromptQuarantine.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/PromptQuarantine.java
@@ -146,9 +146,9 @@
                 part.part(), part.companions(), target, source, parts.size());
     }
 
-    /** Records the complete answer to a request with the shared parts. */
-    void recordAnswer(List<String> sharedParts) {
-        ClearedParts cleared = parts.recordAnswer(sharedParts);
+    /** Records the complete answer to a request with the parts. */
+    void recordAnswer(List<String> requestParts) {
+        ClearedParts cleared = parts.recordAnswer(requestParts);
         if (cleared.suspected().isEmpty()) {
             return;
         }
@@ -175,9 +175,9 @@
 
     // Requests
 
-    /** Decides on a request with the shared parts before it is sent to a target. */
-    Admission admit(List<String> sharedParts) {
-        Optional<QuarantinedPart> refusal = parts.refusalOf(sharedParts);
+    /** Decides on a request with the parts before it is sent to a target. */
+    Admission admit(List<String> requestParts) {
+        Optional<QuarantinedPart> refusal = parts.refusalOf(requestParts);
         if (refusal.isEmpty()) {
             return Admission.ADMITTED;
         }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestQuarantine.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestQuarantine.java
@@ -8,12 +8,12 @@
 /** Quarantine of prompt parts as it applies to one request. Confined to one event loop. */
 final class RequestQuarantine {
     private final IngressContext context;
-    private final List<String> sharedParts;
+    private final List<String> parts;
     private boolean probe;
 
     RequestQuarantine(IngressContext context, RequestDescription description) {
         this.context = context;
-        this.sharedParts = description.sharedPartIdentifiers();
+        this.parts = description.partIdentifiers();
     }
 
     /** Returns the refusal if the request must not be sent to a target; asked before each attempt. */
@@ -21,7 +21,7 @@
         if (probe) {
             return Optional.empty();
         }
-        Admission admission = context.promptQuarantine().admit(sharedParts);
+        Admission admission = context.promptQuarantine().admit(parts);
         probe = admission.probe();
         return Optional.of(admission).filter(decided -> decided.refused().isPresent());
     }
@@ -29,13 +29,13 @@
     /** Records a failed exchange; a request that tests a part tests it at one target only. */
     void onFailure(TargetExchange exchange) {
         probe = false;
-        if (exchange.lostUnanswered() && !sharedParts.isEmpty()) {
-            context.crashDetector().onConnectionLost(exchange.target().entry(), sharedParts);
+        if (exchange.lostUnanswered() && !parts.isEmpty()) {
+            context.crashDetector().onConnectionLost(exchange.target().entry(), parts);
         }
     }
 
     /** Records the complete answer of a target. */
     void onAnswer() {
-        context.promptQuarantine().recordAnswer(sharedParts);
+        context.promptQuarantine().recordAnswer(parts);
     }
 }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetCrashDetector.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetCrashDetector.java
@@ -62,14 +62,14 @@
     }
 
     /** Checks a target whose connection was lost before a whole event of the answer to a prompt had arrived. */
-    void onConnectionLost(TargetEntry target, List<String> sharedParts) {
+    void onConnectionLost(TargetEntry target, List<String> parts) {
         TargetRun run = new TargetRun(target.identifier(), target.startedAtMilliseconds());
         List<List<String>> prompts = pending.get(run);
         if (prompts != null) {
-            prompts.add(sharedParts);
+            prompts.add(parts);
             return;
         }
-        pending.put(run, new ArrayList<>(List.of(sharedParts)));
+        pending.put(run, new ArrayList<>(List.of(parts)));
         var unused = timers.after(CHECK_DELAY)
                 .andThen(Single.defer(() -> connector.refuses(target.host(), target.port())))
                 .subscribe(refused -> onChecked(run, refused));
