--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/PromptPartQuarantine.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/PromptPartQuarantine.java
@@ -14,8 +14,8 @@
 /**
  * Finds prompt parts that end the targets which begin to answer them, and refuses requests with such a part. A part is
  * quarantined once targets have ended under it {@value #MINIMUM_CRASHES} times more often than requests with it were
- * answered. A request's own part counts as well, because its caller may repeat it. Prompts that were only waiting at the
- * same targets are cleared by their next answers. Not thread-safe.
+ * answered. A request's own part counts as well, because its caller may repeat it. Prompts that were only waiting at
+ * the same targets are cleared by their next answers. Not thread-safe.
  */
 public final class PromptPartQuarantine {
     /** Sound parts that are seldom asked for may be waiting at two targets that end without an answer between them. */
