Bound the memory that bodies of requests in progress take

Cause: CallerExchange.readBody buffered each body whole and kept it until its request had ended. Nothing bounded the sum.

BodyMemoryBoundTest on the same code (with an unused parameter for the bound): 7 of 9 fail, 11 and 12 large bodies in progress where 3 have room. The other two guard small requests and paused callers in the new code and hold there too.

Change: BodyMemory accounts for the bodies with a bound of 35% of the heap, a quarter of it for bodies of up to 64 KiB, and half of either for one client account. CallerBody reserves a stated length at the head, pauses the caller while there is no room, in the order of arrival and for at most half the time of the request, and rejects with 503 memory_exhausted (not run) when room in time is unlikely. Bodies in chunks take steps and are rejected at a step without room. Large bodies that have not arrived at the deadline are let go. A body that has been written is let go when the response begins, if its route allows no retry.

Cost: goodput of one client account that posts only such bodies.

52 tests pass (BodyMemoryBoundTest, BodyMemoryProperties, SilentCallerTest, IngressPathTest). Latencies of small requests beside the flood were not measured.

--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/CallerExchange.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/CallerExchange.java
@@ -26,7 +26,7 @@
     private final long arrivedAt;
     private final CallerConnection connection;
     private final Consumer<CallerExchange> onEnd;
-    private Buffer body = Buffer.buffer();
+    private final CallerBody body;
     private Optional<Runnable> disconnectHandler = Optional.empty();
     private Runnable stopHandler = this::abort;
     private boolean finished;
@@ -47,33 +47,29 @@
         this.connection = connection;
         this.arrivedAt = context.timers().monotonicNanoseconds();
         this.onEnd = onEnd;
+        this.body = new CallerBody(context, request, connection);
         request.response().closeHandler(ignored -> connectionClosed());
         request.response().exceptionHandler(ignored -> connectionClosed());
     }
 
-    /** Buffers the request body, then runs {@code onComplete}, or {@code onTooLarge} once it exceeds the limit. */
-    void readBody(int maximumBytes, Runnable onComplete, Runnable onTooLarge) {
-        boolean[] tooLarge = {false};
+    /**
+     * Buffers the request body, then runs {@code onComplete}, or {@code onRejected} if it is too large or has no room.
+     *
+     * @param timeout time from the head of the request in which it must be answered
+     */
+    void readBody(
+            int maximumBytes,
+            Optional<String> account,
+            Duration timeout,
+            Runnable onComplete,
+            Consumer<FireflywalkException> onRejected) {
         request.exceptionHandler(ignored -> connectionClosed());
-        request.handler(chunk -> {
-            connection.recordActivity();
-            if (tooLarge[0]) {
-                return;
-            }
-            if (body.length() + chunk.length() > maximumBytes) {
-                tooLarge[0] = true;
-                body = Buffer.buffer();
-                onTooLarge.run();
-            } else {
-                body.appendBuffer(chunk);
-            }
-        });
-        request.endHandler(ignored -> {
-            if (!tooLarge[0] && !disconnected && !finished) {
-                connection.startAnswer();
-                onComplete.run();
-            }
-        });
+        body.read(this, maximumBytes, account, timeout, onComplete, onRejected);
+    }
+
+    /** Lets the body go, because no other attempt can need it. */
+    void releaseBody() {
+        body.release();
     }
 
     /** Reads the request body to its end without keeping it, then runs {@code onComplete}. */
@@ -111,6 +107,7 @@
             return;
         }
         disconnected = true;
+        body.release();
         disconnectHandler.ifPresent(Runnable::run);
         onEnd.accept(this);
     }
@@ -132,7 +129,7 @@
     }
 
     Buffer body() {
-        return body;
+        return body.content();
     }
 
     long arrivedAt() {
@@ -217,6 +214,7 @@
             return false;
         }
         finished = true;
+        body.release();
         connection.startWriting();
         onEnd.accept(this);
         return true;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressContext.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressContext.java
@@ -1,5 +1,6 @@
 package io.fireflywalk.daemon.ingress;
 
+import io.fireflywalk.core.ingress.BodyMemory;
 import io.fireflywalk.core.ingress.PromptPlacement;
 import io.fireflywalk.core.ingress.TargetPicker;
 import io.fireflywalk.services.time.TimerService;
@@ -27,6 +28,7 @@
         UsageCounter usageCounter,
         IngressMetrics metrics,
         EventLoopMonitor eventLoopMonitor,
+        BodyMemory bodyMemory,
         BooleanSupplier draining) {
 
     /** Returns the availability zone of this instance. */
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import io.fireflywalk.core.ingress.BodyMemory;
 import io.fireflywalk.core.ingress.PromptPlacement;
 import io.fireflywalk.core.ingress.RunnerLatencyModel;
 import io.fireflywalk.core.ingress.ServiceProfile;
@@ -81,7 +82,23 @@
     private final IngressServer server;
     private boolean draining;
 
+    /** Creates an ingress whose memory for request bodies is a part of the heap of the process. */
     public IngressDaemon(Vertx vertx, IngressSettings settings, IngressPlatform platform, TimerService timers) {
+        this(
+                vertx,
+                settings,
+                platform,
+                timers,
+                BodyMemory.ofHeap(Runtime.getRuntime().maxMemory()));
+    }
+
+    /** Creates an ingress. */
+    public IngressDaemon(
+            Vertx vertx,
+            IngressSettings settings,
+            IngressPlatform platform,
+            TimerService timers,
+            BodyMemory bodyMemory) {
         this.vertx = vertx;
         this.settings = settings;
         this.timers = timers;
@@ -155,12 +172,16 @@
                 usageCounter,
                 metrics,
                 eventLoopMonitor,
+                bodyMemory,
                 () -> draining);
         this.server = new IngressServer(vertx, context, this::requestsPerTarget);
-        registerGauges();
+        registerGauges(bodyMemory);
     }
 
-    private void registerGauges() {
+    private void registerGauges(BodyMemory bodyMemory) {
+        registry.register("body_bytes_held", (Gauge<Long>) bodyMemory::heldBytes);
+        registry.register("body_bytes_maximum", (Gauge<Long>) bodyMemory::maximumBytes);
+        registry.register("bodies_waiting", (Gauge<Integer>) bodyMemory::waitingBodies);
         registry.register("configuration_version", (Gauge<Long>) configuration::version);
         registry.register("targets", (Gauge<Integer>) directory::size);
         registry.register("instances", (Gauge<Integer>) coordinator::instanceCount);
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressServer.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressServer.java
@@ -180,13 +180,16 @@
                 .orElseThrow(() -> new FireflywalkException(ErrorKind.UNKNOWN_ROUTE, "no route", LOCATION));
         Optional<String> account = authenticate(configuration, route, request);
         RequestDescription description = context.callerProtocol().describe(request.headers());
+        Duration timeout = description
+                .deadline()
+                .filter(stated -> stated.compareTo(route.timeout()) < 0)
+                .orElse(route.timeout());
         caller.readBody(
                 configuration.limits().bodyBytes(),
+                account,
+                timeout,
                 () -> new RequestForwarder(context, limits, caller, route, description, account).start(),
-                () -> reject(
-                        caller,
-                        request,
-                        new FireflywalkException(ErrorKind.BODY_TOO_LARGE, "the body is too large", LOCATION)));
+                cause -> reject(caller, request, cause));
     }
 
     private static FireflywalkException shuttingDown() {
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestForwarder.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestForwarder.java
@@ -387,6 +387,9 @@
             prefill.onCacheFetched();
             clientAccount.ifPresent(context.usageCounter()::requestStarted);
         }
+        if (!route.retryable() && current.filter(TargetExchange::written).isPresent()) {
+            caller.releaseBody();
+        }
     }
 
     // Failures
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetExchange.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetExchange.java
@@ -37,6 +37,7 @@
     private long connection;
     private int ordinal;
     private boolean sent;
+    private boolean written;
     private boolean ended;
     private boolean discarded;
     private boolean connectionLost;
@@ -124,7 +125,7 @@
         if (body.length() > 0) {
             opened.putHeader("content-length", Integer.toString(body.length()));
         }
-        opened.end(body);
+        opened.end(body).onSuccess(ignored -> written = true);
     }
 
     private void onResponseHead(HttpClientResponse received) {
@@ -292,6 +293,11 @@
         return connectionLost && sent && !delivered;
     }
 
+    /** Tells whether the whole request has been written to the connection. */
+    boolean written() {
+        return written;
+    }
+
     /** Tells whether the request may have reached the target. */
     boolean sent() {
         return sent;
