Refuse requests whose framing is ambiguous

What callers saw: the body of a request with a transfer coding other than chunked ran as a request of its own, with an id that nobody had sent, and its caller got a second response.

Cause: the HTTP library ends such a request at its head and reads on. The ingress looked at no framing header, and the library removes the length of a chunked request before a handler could compare both.

Change: StrictRequestDecoder replaces the decoder of callers' connections and asks RequestFraming about the whole head before a byte of the body is read. A violation gets 400 (CONNECT 405, an unknown expectation 417, with the new kind EXPECTATION_FAILED) and closes the connection; what follows is dropped by the decoder. Equal lengths that are repeated are refused as well. Invalid requests get the error body, a log line and the metric requests_invalid.

Evidence: RequestFramingTest, 57 refused requests, alone and behind another one, and 14 proper ones.

--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/error/ErrorKind.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/error/ErrorKind.java
@@ -37,6 +37,7 @@
     BODY_TOO_LARGE(
             413, false, RunState.NOT_RUN, LogLevel.DEBUG, "Raise the body limit if such requests should be accepted."),
     URL_TOO_LONG(414, false, RunState.NOT_RUN, LogLevel.DEBUG, "The caller's request line exceeds the limit."),
+    EXPECTATION_FAILED(417, false, RunState.NOT_RUN, LogLevel.DEBUG, "The caller expects more than 100-continue."),
     CONFIGURATION_INVALID(422, false, RunState.NOT_RUN, LogLevel.INFO, "Correct the fields at the listed paths."),
     SHARE_EXHAUSTED(429, true, RunState.NOT_RUN, LogLevel.INFO, "The client account has exceeded its share."),
     QUEUE_FULL(429, true, RunState.NOT_RUN, LogLevel.INFO, "The request queue of the service is full."),
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/CallerExchange.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/CallerExchange.java
@@ -31,6 +31,7 @@
     private Runnable stopHandler = this::abort;
     private boolean finished;
     private boolean disconnected;
+    private boolean lastOnConnection;
 
     /**
      * Creates the exchange of one request.
@@ -187,6 +188,12 @@
         }
     }
 
+    /** Sends an error response and closes the connection. */
+    void sendErrorAndClose(FireflywalkException cause) {
+        lastOnConnection = true;
+        sendError(cause);
+    }
+
     /** Sends an error response with the default time after which a request that did not run may be sent again. */
     void sendError(FireflywalkException cause) {
         sendError(cause, Optional.empty());
@@ -222,17 +229,21 @@
         return true;
     }
 
+    private boolean closesConnection() {
+        return lastOnConnection || context.draining().getAsBoolean();
+    }
+
     private void addCloseHeader() {
-        if (context.draining().getAsBoolean()) {
+        if (closesConnection()) {
             request.response().putHeader("connection", "close");
         }
     }
 
-    /** While draining, closes the connection; the HTTP server keeps it open despite {@code connection: close}. */
+    /** Closes the connection if the response is the last one on it; the HTTP server keeps it open despite {@code connection: close}. */
     private void afterWriting(Future<Void> written) {
         written.onComplete(ignored -> {
             connection.endWriting();
-            if (context.draining().getAsBoolean()) {
+            if (closesConnection()) {
                 request.connection().close();
             }
         });
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressServer.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressServer.java
@@ -60,7 +60,11 @@
                 .setHttp2ClearTextEnabled(false)
                 .setHandle100ContinueAutomatically(true);
         return vertx.createHttpServer(options)
-                .connectionHandler(this::onConnect)
+                .connectionHandler(connection -> {
+                    StrictRequestDecoder.install(connection, options);
+                    onConnect(connection);
+                })
+                .invalidRequestHandler(this::refuseInvalid)
                 .requestHandler(this::handle)
                 .listen(port, host)
                 .onSuccess(listening -> listener = Optional.of(listening));
@@ -134,6 +138,11 @@
     }
 
     private void handle(HttpServerRequest request) {
+        if (request.decoderResult().isFailure()) {
+            // The HTTP server hands an invalid request that waited for an earlier response to this handler.
+            refuseInvalid(request);
+            return;
+        }
         CallerConnection connection =
                 connections.getOrDefault(request.connection(), new CallerConnection(context.timers()));
         connection.startRequest();
@@ -148,6 +157,34 @@
         }
     }
 
+    /** Answers a request that the decoder has refused, and closes its connection. */
+    private void refuseInvalid(HttpServerRequest request) {
+        CallerConnection connection =
+                connections.getOrDefault(request.connection(), new CallerConnection(context.timers()));
+        connection.startRequest();
+        CallerExchange caller = new CallerExchange(context, request, connection, requestsInFlight::remove);
+        requestsInFlight.add(caller);
+        FireflywalkException refusal =
+                RequestFraming.refusal(request.decoderResult().cause());
+        long now = context.timers().monotonicNanoseconds();
+        context.metrics().count("requests_invalid");
+        // Names no host and path, because the request may have any bytes there.
+        context.metrics()
+                .requestEnded(
+                        now,
+                        now - caller.arrivedAt(),
+                        refusal.kind().code(),
+                        false,
+                        () -> String.format(
+                                "event=request_refused outcome=%s status=%d address=%s cause=\"%s\" configuration=%d",
+                                refusal.kind().code(),
+                                refusal.kind().httpStatus(),
+                                request.remoteAddress(),
+                                refusal.detail(),
+                                context.configuration().version()));
+        caller.sendErrorAndClose(refusal);
+    }
+
     private void reject(CallerExchange caller, HttpServerRequest request, FireflywalkException cause) {
         long now = context.timers().monotonicNanoseconds();
         context.metrics()
