Take no response with an ambiguous length for a success

What callers saw: a signed success from a response of a target that had both a length and chunks, or a transfer coding other than chunked. Where such a body ends is a guess, and so is what the connection carries next.

Cause: the HTTP library removes the length of a chunked response, reads other codings to the end of the connection or by the length, and tells nobody.

Change: the codec of connections to targets creates headers that remember a removed length (TargetResponseHeaders). ExtraResponseFilter turns such a response into an invalid one, for which the HTTP client fails the attempt and closes the connection, and drops what follows.

Two lengths in an HTTP/1.0 response are not covered.

--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/ExtraResponseFilter.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/ExtraResponseFilter.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObject;
@@ -29,6 +30,7 @@
     private final TargetConnectionState state;
     private final String identifierHeader;
     private final Listener listener;
+    private boolean refused;
 
     /** Learns of extra responses. */
     interface Listener {
@@ -58,6 +60,11 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+        if (refused) {
+            ReferenceCountUtil.release(message);
+            return;
+        }
+        refuseAmbiguousFraming(message);
         Decision decision = decide(message);
         if (decision == Decision.DELIVER) {
             super.channelRead(context, message);
@@ -69,6 +76,17 @@
         }
     }
 
+    /** Turns a response whose end is not known into an invalid one, for which the HTTP client closes the connection. */
+    private void refuseAmbiguousFraming(Object message) {
+        if (message instanceof HttpResponse response
+                && response.headers() instanceof TargetResponseHeaders headers
+                && headers.frameAmbiguously()) {
+            refused = true;
+            response.setDecoderResult(
+                    DecoderResult.failure(new IllegalArgumentException("the response has an ambiguous length")));
+        }
+    }
+
     private Decision decide(Object message) {
         if (message instanceof HttpObject part && part.decoderResult().isFailure()) {
             // These bytes are no response; the HTTP client reports them.
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetConnectionTracker.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetConnectionTracker.java
@@ -2,6 +2,11 @@
 
 import io.fireflywalk.core.ingress.TargetConnectionState;
 import io.fireflywalk.services.time.TimerService;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpHeadersFactory;
+import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.impl.HttpClientConnectionInternal;
 import java.util.HashMap;
@@ -12,6 +17,7 @@
  * State of the open connections to targets. Bounded by the connections that are open. Confined to one event loop.
  */
 final class TargetConnectionTracker {
+    private static final String CODEC = "codec";
     private static final String FILTER = "extra-response-filter";
 
     private final Map<HttpConnection, TargetConnectionState> connections = new HashMap<>();
@@ -39,6 +45,7 @@
         connection.exceptionHandler(cause -> onInvalidMessage(connection, state, cause));
         // The HTTP client has no public hook between its codec and the request that waits for a response.
         var context = ((HttpClientConnectionInternal) connection).channelHandlerContext();
+        context.pipeline().replace(CODEC, CODEC, createCodec());
         context.pipeline()
                 .addBefore(
                         context.name(),
@@ -49,6 +56,30 @@
                                 (status, identifier) -> onExtraResponse(connection, state, status, identifier)));
     }
 
+    /** Creates the codec as the HTTP client does by default, with headers that show how a response was framed. */
+    private static HttpClientCodec createCodec() {
+        HttpDecoderConfig configuration = new HttpDecoderConfig()
+                .setMaxInitialLineLength(HttpClientOptions.DEFAULT_MAX_INITIAL_LINE_LENGTH)
+                .setMaxHeaderSize(HttpClientOptions.DEFAULT_MAX_HEADER_SIZE)
+                .setMaxChunkSize(HttpClientOptions.DEFAULT_MAX_CHUNK_SIZE)
+                .setInitialBufferSize(HttpClientOptions.DEFAULT_DECODER_INITIAL_BUFFER_SIZE)
+                .setHeadersFactory(new HttpHeadersFactory() {
+                    @Override
+                    public HttpHeaders newHeaders() {
+                        return new TargetResponseHeaders();
+                    }
+
+                    @Override
+                    public HttpHeaders newEmptyHeaders() {
+                        return new TargetResponseHeaders();
+                    }
+                });
+        return new HttpClientCodec(
+                configuration,
+                HttpClientCodec.DEFAULT_PARSE_HTTP_AFTER_CONNECT_REQUEST,
+                HttpClientCodec.DEFAULT_FAIL_ON_MISSING_RESPONSE);
+    }
+
     private void onExtraResponse(
             HttpConnection connection, TargetConnectionState state, int status, Optional<String> identifier) {
         metrics.count("target_extra_responses");
