--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestForwarder.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestForwarder.java
@@ -32,7 +32,6 @@
     private static final Duration MINIMUM_ATTEMPT_TIME = Duration.ofMillis(15);
     /** Longer responses are passed on as they arrive, so that a body without end takes no more memory. */
     private static final int MAXIMUM_COLLECTED_BYTES = 65_536;
-
     /** Spreads the return of callers that are refused while all targets want no requests. */
     private static final int RETURN_SPREAD_MILLISECONDS = 500;
     /** A stream with a longer event is broken off. */
@@ -52,6 +51,7 @@
     private final RequestQuarantine quarantine;
     private final RemotePrefill prefill;
     private final StallTimer stallTimer;
+    private final RequestLog log;
     private Optional<TargetExchange> current = Optional.empty();
     private Disposable deadlineTimer = Disposable.disposed();
     /** Time after which a refused caller may return, if it is known. */
@@ -60,7 +60,6 @@
     private boolean executionStarted;
     private boolean streaming;
     private boolean finished;
-    private final RequestLog log;
     private long firstByteMilliseconds = -1;
 
     RequestForwarder(
@@ -188,12 +187,7 @@
     private void sendTo(TargetState target, Optional<TargetState> fetchFrom, Duration timeLeft, Duration timeout) {
         TargetExchange exchange = new TargetExchange(context, target, description.attemptIdentifier(), this);
         current = Optional.of(exchange);
-        double load = target.estimatedRequests(context.timers().monotonicNanoseconds());
-        double failureRate = target.failureRate();
-        log.routing()
-                .replace(() -> String.format(
-                        "target=%s target_zone=%s load=%.1f failure_rate=%.2f",
-                        target.entry().identifier(), target.entry().availabilityZone(), load, failureRate));
+        log.routing().replace(RequestLog.targetFields(target, context.timers().monotonicNanoseconds()));
         exchange.start(
                 caller.method(),
                 caller.uri(),
@@ -482,26 +476,22 @@
         deadlineTimer.dispose();
         stallTimer.stop();
         prefill.close();
-        // A request that must run at most once continues without its caller once it is sent, because cancelling it
-        // would
-        // leave its outcome unknown.
-        boolean callerDisconnected = outcome.equals("caller_left");
+        // Cancelling a request that must run at most once would leave its outcome unknown, so it goes on without its
+        // caller.
         boolean sent = current.filter(TargetExchange::sent).isPresent();
-        if (callerDisconnected && sent && route.kind() == RequestKind.NON_IDEMPOTENT) {
+        if (outcome.equals("caller_left") && sent && route.kind() == RequestKind.NON_IDEMPOTENT) {
             var unused = context.timers().after(remaining()).subscribe(() -> current.ifPresent(TargetExchange::cancel));
         } else {
             current.ifPresent(TargetExchange::cancel);
         }
         long version = context.configuration().version();
-        RequestLog.Result result = RequestLog.Result.of(
+        var result = RequestLog.Result.of(
                 outcome, status, cause, firstByteMilliseconds, caller.elapsed(), attempts, version);
+        long now = context.timers().monotonicNanoseconds();
+        long elapsed = result.elapsed().toNanos();
+        boolean atFirstAttempt = answered && log.attempts() <= 1;
         context.metrics()
-                .requestEnded(
-                        context.timers().monotonicNanoseconds(),
-                        result.elapsed().toNanos(),
-                        outcome,
-                        answered && log.attempts() <= 1,
-                        () -> log.format(result, prefill.logFields()));
+                .requestEnded(now, elapsed, outcome, atFirstAttempt, () -> log.format(result, prefill.logFields()));
     }
 
     private Duration remaining() {
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestLog.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestLog.java
@@ -4,6 +4,7 @@
 import io.fireflywalk.core.ingress.PromptPlacement.Placement;
 import io.fireflywalk.core.ingress.RequestDescription;
 import io.fireflywalk.core.ingress.TargetPicker.Choice;
+import io.fireflywalk.core.ingress.TargetState;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -84,6 +85,15 @@
         return attempts.size();
     }
 
+    /** Returns the fields of a target to which the request is sent, with the values of now. */
+    static Supplier<String> targetFields(TargetState target, long now) {
+        double load = target.estimatedRequests(now);
+        double failureRate = target.failureRate();
+        return () -> String.format(
+                "target=%s target_zone=%s load=%.1f failure_rate=%.2f",
+                target.entry().identifier(), target.entry().availabilityZone(), load, failureRate);
+    }
+
     /** Returns the fields of a target that was chosen by its load. */
     static String choiceFields(Choice choice) {
         return String.format("cost=%.3f candidates=%d", choice.cost(), choice.candidates());
