--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetConnectionState.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetConnectionState.java
@@ -139,6 +139,16 @@
         return !discarding && !identifiers.contains(identifier.hashCode());
     }
 
+    /** Tells whether a request waits for the end of its response. */
+    public boolean requestInProgress() {
+        return phase != Phase.IDLE;
+    }
+
+    /** Returns the identifier of the request in progress, if it has one. */
+    public Optional<String> current() {
+        return current;
+    }
+
     /** Returns the number of the connection in this process. */
     public long number() {
         return number;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetConnectionTracker.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetConnectionTracker.java
@@ -1,12 +1,10 @@
 package io.fireflywalk.daemon.ingress;
 
 import io.fireflywalk.core.ingress.TargetConnectionState;
+import io.fireflywalk.services.http.ResponseCodec;
 import io.fireflywalk.services.time.TimerService;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpHeadersFactory;
-import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.impl.HttpClientConnectionInternal;
 import java.io.IOException;
@@ -20,8 +18,19 @@
  */
 final class TargetConnectionTracker {
     private static final Logger LOG = Logger.getLogger(TargetConnectionTracker.class);
-    private static final String CODEC = "codec";
     private static final String FILTER = "extra-response-filter";
+    /** Headers that show how a response was framed. */
+    private static final HttpHeadersFactory HEADERS = new HttpHeadersFactory() {
+        @Override
+        public HttpHeaders newHeaders() {
+            return new TargetResponseHeaders();
+        }
+
+        @Override
+        public HttpHeaders newEmptyHeaders() {
+            return new TargetResponseHeaders();
+        }
+    };
 
     private final Map<HttpConnection, TargetConnectionState> connections = new HashMap<>();
     private final TimerService timers;
@@ -46,9 +55,9 @@
         connections.put(connection, state);
         connection.closeHandler(ignored -> connections.remove(connection));
         connection.exceptionHandler(cause -> onFailure(connection, state, cause));
+        ResponseCodec.install(connection, HEADERS, state::requestInProgress, new BegunResponseLog(connection, state));
         // The HTTP client has no public hook between its codec and the request that waits for a response.
         var context = ((HttpClientConnectionInternal) connection).channelHandlerContext();
-        context.pipeline().replace(CODEC, CODEC, createCodec());
         context.pipeline()
                 .addBefore(
                         context.name(),
@@ -60,28 +69,38 @@
                                 (status, identifier) -> onExtraResponse(connection, state, status, identifier)));
     }
 
-    /** Creates the codec as the HTTP client does by default, with headers that show how a response was framed. */
-    private static HttpClientCodec createCodec() {
-        HttpDecoderConfig configuration = new HttpDecoderConfig()
-                .setMaxInitialLineLength(HttpClientOptions.DEFAULT_MAX_INITIAL_LINE_LENGTH)
-                .setMaxHeaderSize(HttpClientOptions.DEFAULT_MAX_HEADER_SIZE)
-                .setMaxChunkSize(HttpClientOptions.DEFAULT_MAX_CHUNK_SIZE)
-                .setInitialBufferSize(HttpClientOptions.DEFAULT_DECODER_INITIAL_BUFFER_SIZE)
-                .setHeadersFactory(new HttpHeadersFactory() {
-                    @Override
-                    public HttpHeaders newHeaders() {
-                        return new TargetResponseHeaders();
-                    }
+    private final class BegunResponseLog implements ResponseCodec.Listener {
+        private final HttpConnection connection;
+        private final TargetConnectionState state;
+
+        BegunResponseLog(HttpConnection connection, TargetConnectionState state) {
+            this.connection = connection;
+            this.state = state;
+        }
+
+        @Override
+        public void onJoinedHead(String statusLine) {
+            metrics.count("target_joined_heads");
+            metrics.logFault(
+                    timers.monotonicNanoseconds(),
+                    () -> String.format(
+                            "event=target_joined_head address=%s connection=%d requests_on_connection=%d id=%s second_status_line=\"%s\"",
+                            connection.remoteAddress(),
+                            state.number(),
+                            state.requests(),
+                            state.current().orElse("-"),
+                            statusLine));
+        }
 
-                    @Override
-                    public HttpHeaders newEmptyHeaders() {
-                        return new TargetResponseHeaders();
-                    }
-                });
-        return new HttpClientCodec(
-                configuration,
-                HttpClientCodec.DEFAULT_PARSE_HTTP_AFTER_CONNECT_REQUEST,
-                HttpClientCodec.DEFAULT_FAIL_ON_MISSING_RESPONSE);
+        @Override
+        public void onUnfinishedResponse(int bytes) {
+            metrics.count("target_unfinished_responses");
+            metrics.logFault(
+                    timers.monotonicNanoseconds(),
+                    () -> String.format(
+                            "event=target_unfinished_response address=%s connection=%d requests_on_connection=%d bytes=%d",
+                            connection.remoteAddress(), state.number(), state.requests(), bytes));
+        }
     }
 
     private void onExtraResponse(
--- /dev/null
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/http/ResponseCodec.java
@@ -0,0 +1,67 @@
+package io.fireflywalk.services.http;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.CombinedChannelDuplexHandler;
+import io.netty.handler.codec.http.HttpHeadersFactory;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.impl.HttpClientConnectionInternal;
+import java.util.function.BooleanSupplier;
+
+/**
+ * Codec of a connection of an HTTP client that carries one request at a time. It reports what shows that the server has
+ * begun a response which it did not finish. Confined to the event loop of the connection.
+ */
+public final class ResponseCodec extends CombinedChannelDuplexHandler<ResponseDecoder, HttpRequestEncoder> {
+    /** Name under which the HTTP client adds its own codec. */
+    private static final String CODEC_NAME = "codec";
+
+    /** Learns of responses that a server has begun and not finished. */
+    public interface Listener {
+
+        /**
+         * Called with a line of the head of a response that contains the status line of another response.
+         *
+         * @param statusLine the line from the second status line on
+         */
+        void onJoinedHead(String statusLine);
+
+        /** Called with the number of bytes that are left over when no request waits for a response. */
+        void onUnfinishedResponse(int bytes);
+    }
+
+    private ResponseCodec(ResponseDecoder decoder) {
+        super(decoder, new HttpRequestEncoder());
+    }
+
+    /**
+     * Replaces the codec of a new connection, which must not have read anything yet.
+     *
+     * @param headers factory of the headers of responses
+     * @param requestInProgress tells whether a request on the connection waits for the end of its response
+     */
+    public static ResponseCodec install(
+            HttpConnection connection,
+            HttpHeadersFactory headers,
+            BooleanSupplier requestInProgress,
+            Listener listener) {
+        ResponseCodec codec = new ResponseCodec(new ResponseDecoder(headers, requestInProgress, listener));
+        // The HTTP client has no public hook for its codec.
+        ((HttpClientConnectionInternal) connection)
+                .channelHandlerContext()
+                .pipeline()
+                .replace(CODEC_NAME, CODEC_NAME, codec);
+        return codec;
+    }
+
+    @Override
+    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) throws Exception {
+        if (message instanceof HttpRequest request) {
+            inboundHandler().requestSent(request.method().equals(HttpMethod.HEAD));
+        }
+        super.write(context, message, promise);
+    }
+}
