Refuse responses that begin as another response

Cause: the HTTP client's decoder keeps what a target began on a connection until a head is complete. "HTTP/1.1 200 O" and the 500 to the next request behind it are one valid head with the status 200 and the identifier, signature, length and body of the 500. A cut within a header's value does the same; a begun 503 with the rejection's header turned a POST that had run into one reported as not run.

The change is in the decoder. A connection that holds bytes of a response while no request is in progress is closed at once and not used, so a beginning that has arrived costs no request. If the beginning arrives while the next request waits, only the head can tell: a head or trailer with a second status line (version, status code) in its reason phrase or in a value is invalid, and the attempt fails as one that may have run. It is not read from the second status line on, because a target that writes one into a header of its own would then get another status than it gave. An extra response whose body is cut and that ends within the next one closes the connection after 100 ms; before, the request waited for its deadline. After a decision to close, nothing else of the connection is delivered.

BegunResponseProperties cuts responses of 8 statuses in 4 framings at any byte, in pieces of any size, and fails without the check of the second status line or of undecoded bytes. ExtraResponseTest, ResponseFramingTest and PrefillAnsweredTwiceTest pass unchanged.

--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/ExtraResponseFilter.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/ExtraResponseFilter.java
@@ -22,6 +22,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 
 /**
  * Takes responses that belong to no request out of a connection to a target, before the HTTP client gives them to the
@@ -31,10 +32,14 @@
     private static final Set<HttpResponseStatus> BODILESS =
             Set.of(HttpResponseStatus.NO_CONTENT, HttpResponseStatus.NOT_MODIFIED);
 
-    /** An extra response that lasts longer was cut short, and would take the bytes of the next response for its own. */
+    /**
+     * An extra response that lasts longer was cut short and takes the bytes of the next response for its own. If it has
+     * ended in the middle of the next response, the rest of that is no head and may never become one.
+     */
     private static final Duration MAXIMUM_EXTRA_TIME = Duration.ofMillis(100);
 
     private final TargetConnectionState state;
+    private final BooleanSupplier responseUnfinished;
     private final TimerService timers;
     private final String identifierHeader;
     private final Listener listener;
@@ -51,10 +56,17 @@
     /**
      * Creates the filter of one connection.
      *
+     * @param responseUnfinished tells whether the decoder holds a part of a response
      * @param identifierHeader header with the identifier that a response repeats from its request
      */
-    ExtraResponseFilter(TargetConnectionState state, TimerService timers, String identifierHeader, Listener listener) {
+    ExtraResponseFilter(
+            TargetConnectionState state,
+            BooleanSupplier responseUnfinished,
+            TimerService timers,
+            String identifierHeader,
+            Listener listener) {
         this.state = state;
+        this.responseUnfinished = responseUnfinished;
         this.timers = timers;
         this.identifierHeader = identifierHeader;
         this.listener = listener;
@@ -76,24 +88,29 @@
         }
         refuseAmbiguousFraming(message);
         Decision decision = decide(message);
-        if (message instanceof LastHttpContent) {
-            extraTimeout.dispose();
-        } else if (decision == Decision.DISCARD && message instanceof HttpResponse) {
-            extraTimeout.dispose();
-            extraTimeout = timers.after(MAXIMUM_EXTRA_TIME).subscribe(() -> {
-                var unused = context.close();
-            });
-        }
         if (decision == Decision.DELIVER) {
             super.channelRead(context, message);
             return;
         }
         ReferenceCountUtil.release(message);
         if (decision == Decision.CLOSE) {
+            refused = true;
             var unused = context.close();
         }
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) throws Exception {
+        super.channelReadComplete(context);
+        if (!state.waitsBehindExtraResponse() || !responseUnfinished.getAsBoolean()) {
+            extraTimeout.dispose();
+        } else if (extraTimeout.isDisposed()) {
+            extraTimeout = timers.after(MAXIMUM_EXTRA_TIME).subscribe(() -> {
+                var unused = context.close();
+            });
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) throws Exception {
         extraTimeout.dispose();
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetConnectionTracker.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetConnectionTracker.java
@@ -32,12 +32,14 @@
         }
     };
 
-    private final Map<HttpConnection, TargetConnectionState> connections = new HashMap<>();
+    private final Map<HttpConnection, TrackedConnection> connections = new HashMap<>();
     private final TimerService timers;
     private final IngressMetrics metrics;
     private final String identifierHeader;
     private long lastNumber;
 
+    private record TrackedConnection(TargetConnectionState state, ResponseCodec codec) {}
+
     /**
      * Creates a tracker without connections.
      *
@@ -52,10 +54,11 @@
     /** Follows a new connection until it is closed, and takes responses out of it that belong to no request. */
     void opened(HttpConnection connection) {
         TargetConnectionState state = new TargetConnectionState(++lastNumber);
-        connections.put(connection, state);
+        ResponseCodec codec = ResponseCodec.install(
+                connection, HEADERS, state::requestInProgress, new BegunResponseLog(connection, state));
+        connections.put(connection, new TrackedConnection(state, codec));
         connection.closeHandler(ignored -> connections.remove(connection));
         connection.exceptionHandler(cause -> onFailure(connection, state, cause));
-        ResponseCodec.install(connection, HEADERS, state::requestInProgress, new BegunResponseLog(connection, state));
         // The HTTP client has no public hook between its codec and the request that waits for a response.
         var context = ((HttpClientConnectionInternal) connection).channelHandlerContext();
         context.pipeline()
@@ -64,6 +67,7 @@
                         FILTER,
                         new ExtraResponseFilter(
                                 state,
+                                codec::holdsUnfinishedResponse,
                                 timers,
                                 identifierHeader,
                                 (status, identifier) -> onExtraResponse(connection, state, status, identifier)));
@@ -131,6 +135,13 @@
 
     /** Returns the state of an open connection; nothing if it has been closed meanwhile. */
     Optional<TargetConnectionState> state(HttpConnection connection) {
-        return Optional.ofNullable(connections.get(connection));
+        return Optional.ofNullable(connections.get(connection)).map(TrackedConnection::state);
+    }
+
+    /** Tells whether a response on the connection that bears the identifier can only be the response to a request sent now. */
+    boolean accepts(HttpConnection connection, String identifier) {
+        TrackedConnection tracked = connections.get(connection);
+        return tracked == null
+                || (tracked.codec().acceptsRequests() && tracked.state().accepts(identifier));
     }
 }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetExchange.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetExchange.java
@@ -8,7 +8,6 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
-import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import java.time.Duration;
@@ -77,7 +76,7 @@
         context.client().request(options).onComplete(opened -> {
             if (opened.failed()) {
                 fail("connect: " + opened.cause().getMessage());
-            } else if (!canCarry(opened.result().connection())) {
+            } else if (!context.targetConnections().accepts(opened.result().connection(), attemptIdentifier)) {
                 replaceConnection(opened.result(), () -> open(options, callerHeaders, body, requestHead));
             } else if (context.eventLoopMonitor().isBehind()) {
                 opened.result().exceptionHandler(cause -> fail("connect: " + cause.getMessage()));
@@ -99,14 +98,6 @@
         });
     }
 
-    /** Tells whether a response on the connection that bears this attempt's identifier can only be the response to it. */
-    private boolean canCarry(HttpConnection opened) {
-        return context.targetConnections()
-                .state(opened)
-                .filter(state -> !state.accepts(attemptIdentifier))
-                .isEmpty();
-    }
-
     /**
      * Completes once the event loop has read its connections again, because the caller may have left or the target may
      * have closed the connection. The first delay may end in the round that read the request; the second one does not.
--- a/fireflywalk-services/src/main/java/io/fireflywalk/services/http/ResponseCodec.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/http/ResponseCodec.java
@@ -7,13 +7,17 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.impl.HttpClientConnectionInternal;
+import java.io.IOException;
 import java.util.function.BooleanSupplier;
 
 /**
- * Codec of a connection of an HTTP client that carries one request at a time. It reports what shows that the server has
- * begun a response which it did not finish. Confined to the event loop of the connection.
+ * Codec of a connection of an HTTP client that carries one request at a time. A server may begin a response that nobody
+ * waits for and not finish it; the bytes of the next response then follow in the middle of the first one. Such a
+ * connection is closed as soon as no request is in progress, and a response whose head may have parts of two responses is
+ * decoded as invalid. Confined to the event loop of the connection.
  */
 public final class ResponseCodec extends CombinedChannelDuplexHandler<ResponseDecoder, HttpRequestEncoder> {
     /** Name under which the HTTP client adds its own codec. */
@@ -29,7 +33,7 @@
          */
         void onJoinedHead(String statusLine);
 
-        /** Called with the number of bytes that are left over when no request waits for a response. */
+        /** Called with the number of undecoded bytes of a response that has begun while no request was in progress. */
         void onUnfinishedResponse(int bytes);
     }
 
@@ -57,9 +61,25 @@
         return codec;
     }
 
+    /** Tells whether the connection is open and holds no part of a response. */
+    public boolean acceptsRequests() {
+        return inboundHandler().acceptsRequests();
+    }
+
+    /** Tells whether a response has begun and not ended, or bytes have come that may be the beginning of one. */
+    public boolean holdsUnfinishedResponse() {
+        return inboundHandler().holdsUnfinishedResponse();
+    }
+
     @Override
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) throws Exception {
         if (message instanceof HttpRequest request) {
+            if (holdsUnfinishedResponse()) {
+                ReferenceCountUtil.release(message);
+                promise.setFailure(new IOException("the connection holds the beginning of a response"));
+                var unused = context.close();
+                return;
+            }
             inboundHandler().requestSent(request.method().equals(HttpMethod.HEAD));
         }
         super.write(context, message, promise);
--- a/fireflywalk-services/src/main/java/io/fireflywalk/services/http/StatusLines.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/http/StatusLines.java
@@ -8,6 +8,7 @@
 final class StatusLines {
     /** Start of every status line; texts without it are not searched with the pattern. */
     private static final String PROTOCOL = "HTTP/";
+
     /** A protocol version and a status code. A header such as Via names a protocol without a status code behind it. */
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/[0-9]\\.[0-9]\\s+[0-9]{3}(?!\\S)");
 
