Search the bytes of a head for a second status line

Cause: the decoder ends a name at white space and drops what follows up to a colon, and the check looked at the decoded values. It also expected a status code of three digits and upper case, while the decoder takes "+500".

The lines of a head are searched as they were received, before anything of them is dropped. Nothing behind an invalid head or trailer is decoded, and bytes between two responses that cannot begin a status line close the connection at once.

BegunResponseProperties: the property on heads failed before with the new header lines; new are a property of trailers and an example of a request that is written in the turn of the event loop in which a beginning is read.

--- a/fireflywalk-services/src/main/java/io/fireflywalk/services/http/ResponseCodec.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/http/ResponseCodec.java
@@ -37,7 +37,7 @@
         void onUnfinishedResponse(int bytes);
     }
 
-    private ResponseCodec(ResponseDecoder decoder) {
+    ResponseCodec(ResponseDecoder decoder) {
         super(decoder, new HttpRequestEncoder());
     }
 
--- a/fireflywalk-services/src/main/java/io/fireflywalk/services/http/ResponseDecoder.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/http/ResponseDecoder.java
@@ -5,26 +5,34 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.http.HttpClientOptions;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 
 /**
  * Decoder of the responses on a connection. It decodes a response as invalid whose head or trailers contain a second status
- * line. Confined to the event loop of the connection.
+ * line, and nothing behind it. Confined to the event loop of the connection.
  */
 final class ResponseDecoder extends HttpResponseDecoder {
+    private static final String PROTOCOL = "HTTP/";
+
     private final BooleanSupplier requestInProgress;
     private final Listener listener;
     private boolean bodiless;
     private boolean decodingResponse;
+    /** True from the end of the head to that of the response. */
+    private boolean decodingBody;
+
+    private Optional<String> secondStatusLine = Optional.empty();
+    private boolean failed;
     private boolean closed;
 
     ResponseDecoder(HttpHeadersFactory headers, BooleanSupplier requestInProgress, Listener listener) {
@@ -49,7 +57,7 @@
     }
 
     boolean acceptsRequests() {
-        return !closed && !holdsUnfinishedResponse();
+        return !closed && !failed && !holdsUnfinishedResponse();
     }
 
     boolean holdsUnfinishedResponse() {
@@ -59,54 +67,82 @@
     @Override
     protected HttpMessage createMessage(String[] initialLine) {
         decodingResponse = true;
-        refuseStatusLine(initialLine[2]);
         return super.createMessage(initialLine);
     }
 
-    /** Called with the whole head before the decoder decides how the body is framed. */
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
-        refuseStatusLines(message.headers());
         return bodiless || super.isContentAlwaysEmpty(message);
     }
 
-    private void refuseStatusLines(HttpHeaders headers) {
-        for (Map.Entry<String, String> header : headers) {
-            refuseStatusLine(header.getValue());
+    /** Decodes a part of a response; a call that reads lines of a head reads nothing else. */
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf input, List<Object> output) throws Exception {
+        if (failed) {
+            input.skipBytes(input.readableBytes());
+            return;
+        }
+        int start = input.readerIndex();
+        int expectedStatusLines = decodingResponse ? 0 : 1;
+        boolean inHead = !decodingBody;
+        super.decode(context, input, output);
+        if (inHead) {
+            // The decoder drops some bytes of a head, so the decoded headers do not show all of it.
+            String lines = input.toString(start, input.readerIndex() - start, StandardCharsets.ISO_8859_1);
+            secondStatusLine = secondStatusLine.or(() -> StatusLines.find(lines, expectedStatusLines));
+        }
+        if (!output.isEmpty()) {
+            checkDecoded(output);
         }
     }
 
-    private void refuseStatusLine(String text) {
-        Optional<String> statusLine = StatusLines.find(text);
-        if (statusLine.isPresent()) {
-            listener.onJoinedHead(statusLine.get());
-            throw new IllegalArgumentException("the head of a response contains a second status line");
+    private void checkDecoded(List<Object> output) {
+        if (output.get(0) instanceof HttpMessage head) {
+            decodingBody = true;
+            refuse(head, output);
+        }
+        if (output.get(output.size() - 1) instanceof LastHttpContent end) {
+            decodingResponse = false;
+            decodingBody = false;
+            secondStatusLine = end.trailingHeaders().entries().stream()
+                    .flatMap(trailer -> StatusLines.find(trailer.getValue(), 0).stream())
+                    .findFirst();
+            refuse(end, output);
         }
     }
 
-    @Override
-    protected void decode(ChannelHandlerContext context, ByteBuf input, List<Object> output) throws Exception {
-        super.decode(context, input, output);
-        if (!output.isEmpty() && output.get(output.size() - 1) instanceof LastHttpContent end) {
-            decodingResponse = false;
-            try {
-                refuseStatusLines(end.trailingHeaders());
-            } catch (IllegalArgumentException exception) {
-                end.setDecoderResult(DecoderResult.failure(exception));
-            }
+    /** Makes a part invalid if a second status line has been found, and drops what was decoded behind it. */
+    private void refuse(HttpObject part, List<Object> output) {
+        if (secondStatusLine.isEmpty() || part.decoderResult().isFailure()) {
+            return;
+        }
+        listener.onJoinedHead(secondStatusLine.get());
+        part.setDecoderResult(DecoderResult.failure(
+                new IllegalArgumentException("the head of a response contains a second status line")));
+        failed = true;
+        while (output.get(output.size() - 1) != part) {
+            ReferenceCountUtil.release(output.remove(output.size() - 1));
         }
     }
 
     @Override
     public void channelReadComplete(ChannelHandlerContext context) throws Exception {
         super.channelReadComplete(context);
-        if (!closed && !requestInProgress.getAsBoolean() && holdsUnfinishedResponse()) {
+        if (!closed && holdsUnfinishedResponse() && !(requestInProgress.getAsBoolean() && mayBecomeResponse())) {
             listener.onUnfinishedResponse(actualReadableBytes());
             closed = true;
             var unused = context.close();
         }
     }
 
+    /** Tells whether the bytes of which no line is complete can be the beginning of a status line. */
+    private boolean mayBecomeResponse() {
+        ByteBuf undecoded = internalBuffer();
+        int length = Math.min(undecoded.readableBytes(), PROTOCOL.length());
+        String beginning = undecoded.toString(undecoded.readerIndex(), length, StandardCharsets.ISO_8859_1);
+        return decodingResponse || failed || PROTOCOL.startsWith(beginning);
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) throws Exception {
         closed = true;
--- a/fireflywalk-services/src/main/java/io/fireflywalk/services/http/StatusLines.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/http/StatusLines.java
@@ -4,22 +4,29 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-/** Finds status lines within the text of a head. Stateless. */
-final class StatusLines {
-    /** Start of every status line; texts without it are not searched with the pattern. */
-    private static final String PROTOCOL = "HTTP/";
-
-    /** A protocol version and a status code. A header such as Via names a protocol without a status code behind it. */
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/[0-9]\\.[0-9]\\s+[0-9]{3}(?!\\S)");
+/** Finds status lines within text. Stateless. */
+public final class StatusLines {
+    /**
+     * A protocol version and a status code, as leniently as the decoder reads them, up to the end of a word. A header such
+     * as Via names a protocol without a status code behind it.
+     */
+    private static final Pattern STATUS_LINE =
+            Pattern.compile("HTTP/[0-9]+\\.[0-9]+[ \\t\\x0B\\f\\r]+\\+?[0-9]+(?!\\S)", Pattern.CASE_INSENSITIVE);
 
     private StatusLines() {}
 
-    /** Returns the text from the first status line on; nothing if the text contains none. */
-    static Optional<String> find(String text) {
-        if (!text.contains(PROTOCOL)) {
-            return Optional.empty();
-        }
+    /**
+     * Returns the rest of the line that begins with a status line; nothing if there is none.
+     *
+     * @param skipped number of status lines that are passed over
+     */
+    public static Optional<String> find(String text, int skipped) {
         Matcher matcher = STATUS_LINE.matcher(text);
-        return matcher.find() ? Optional.of(text.substring(matcher.start())) : Optional.empty();
+        for (int found = 0; matcher.find(); found++) {
+            if (found == skipped) {
+                return text.substring(matcher.start()).lines().findFirst();
+            }
+        }
+        return Optional.empty();
     }
 }
--- a/fireflywalk-services/src/test/java/io/fireflywalk/services/http/BegunResponseProperties.java
+++ b/fireflywalk-services/src/test/java/io/fireflywalk/services/http/BegunResponseProperties.java
@@ -2,12 +2,19 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
@@ -17,6 +24,7 @@
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
@@ -29,8 +37,12 @@
     private static final List<Integer> STATUSES = List.of(100, 103, 200, 204, 304, 404, 500, 503);
     private static final List<String> REASONS =
             List.of("", " ", " OK", " Not Found", " Internal Server Error", " HTTP/1.1 is spoken here", " see HTTP/2");
-    private static final List<String> EXTRA_HEADERS =
-            List.of("Via: HTTP/1.1 proxy.example", "Not-Executed: 1", "Date: Sun, 06 Dec 2026 02:30:00 GMT", "Empty:");
+    private static final List<String> EXTRA_HEADERS = List.of(
+            "Via: HTTP/1.1 proxy.example",
+            "Not-Executed: 1",
+            "Date : Sun, 06 Dec 2026 02:30:00 GMT",
+            "Server version: 1",
+            "Empty:");
     private static final List<String> BODIES = List.of("", "body", "{\"status\": 200}\r\n", "x".repeat(300));
 
     /** How the end of the body is known. */
@@ -109,7 +121,7 @@
     private static List<HttpObject> decode(EmbeddedChannel channel, String text, Random random) {
         List<HttpObject> decoded = new ArrayList<>();
         int start = 0;
-        while (start < text.length()) {
+        while (start < text.length() && channel.isOpen()) {
             int end = Math.min(text.length(), start + 1 + random.nextInt(random.nextBoolean() ? 8 : 400));
             channel.writeInbound(Unpooled.copiedBuffer(text.substring(start, end), StandardCharsets.ISO_8859_1));
             start = end;
@@ -159,6 +171,7 @@
         String text = first.text() + (first.endsItself() ? second.text() : "");
         List<HttpObject> decoded = decode(channel, text, new Random(seed));
         int responses = first.endsItself() ? 2 : 1;
+        assertTrue(channel.isOpen());
         assertEquals(responses, heads(decoded).size());
         int ends = (first.endsItself() ? 1 : 0) + (first.endsItself() && second.endsItself() ? 1 : 0);
         assertEquals(
@@ -181,4 +194,35 @@
         channel.releaseInbound();
         channel.finishAndReleaseAll();
     }
+
+    @Property(tries = 1000)
+    void trailersWithAStatusLineAreInvalid(@ForAll("own") Response own, @ForAll long seed) {
+        String beginning = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nChecksum: 12";
+        EmbeddedChannel channel = new EmbeddedChannel(decoder(true));
+        List<HttpObject> decoded = decode(channel, beginning + own.text(), new Random(seed));
+        assertEquals(1, decoded.size());
+        channel.finishAndReleaseAll();
+    }
+
+    @Example
+    void requestIsNotWrittenWithinTheReadThatHoldsABeginning() {
+        EmbeddedChannel channel = new EmbeddedChannel(new ResponseCodec(decoder(true)));
+        List<ChannelFuture> writes = new ArrayList<>();
+        channel.pipeline().addLast(new ChannelInboundHandlerAdapter() {
+            @Override
+            public void channelRead(ChannelHandlerContext context, Object message) {
+                if (message instanceof LastHttpContent) {
+                    writes.add(context.writeAndFlush(
+                            new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/")));
+                }
+                ReferenceCountUtil.release(message);
+            }
+        });
+        String response = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        channel.writeInbound(Unpooled.copiedBuffer(response + "HTTP/1.1 200 O", StandardCharsets.ISO_8859_1));
+        assertEquals(1, writes.size());
+        assertFalse(writes.get(0).isSuccess());
+        assertFalse(channel.isOpen());
+        channel.finishAndReleaseAll();
+    }
 }
