Close connections on which an extra response takes in the next one

A discarded body that contains a status line closes the connection, so the attempt fails at once. The time limit is that of the extra response alone again; what is left of a response that was taken in is closed by the decoder, because it cannot begin a status line. After an invalid part nothing else is delivered.

--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetConnectionState.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetConnectionState.java
@@ -144,11 +144,6 @@
         return phase != Phase.IDLE;
     }
 
-    /** Tells whether a request waits for the head of its response after a response that belongs to no request. */
-    public boolean waitsBehindExtraResponse() {
-        return phase == Phase.HEAD && extraResponses > 0;
-    }
-
     /** Returns the identifier of the request in progress, if it has one. */
     public Optional<String> current() {
         return current;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/ExtraResponseFilter.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/ExtraResponseFilter.java
@@ -2,6 +2,7 @@
 
 import io.fireflywalk.core.ingress.TargetConnectionState;
 import io.fireflywalk.core.ingress.TargetConnectionState.Decision;
+import io.fireflywalk.services.http.StatusLines;
 import io.fireflywalk.services.time.TimerService;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
@@ -19,10 +20,10 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.reactivex.rxjava3.disposables.Disposable;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.BooleanSupplier;
 
 /**
  * Takes responses that belong to no request out of a connection to a target, before the HTTP client gives them to the
@@ -32,14 +33,10 @@
     private static final Set<HttpResponseStatus> BODILESS =
             Set.of(HttpResponseStatus.NO_CONTENT, HttpResponseStatus.NOT_MODIFIED);
 
-    /**
-     * An extra response that lasts longer was cut short and takes the bytes of the next response for its own. If it has
-     * ended in the middle of the next response, the rest of that is no head and may never become one.
-     */
+    /** An extra response that lasts longer was cut short, and would take the bytes of the next response for its own. */
     private static final Duration MAXIMUM_EXTRA_TIME = Duration.ofMillis(100);
 
     private final TargetConnectionState state;
-    private final BooleanSupplier responseUnfinished;
     private final TimerService timers;
     private final String identifierHeader;
     private final Listener listener;
@@ -56,17 +53,10 @@
     /**
      * Creates the filter of one connection.
      *
-     * @param responseUnfinished tells whether the decoder holds a part of a response
      * @param identifierHeader header with the identifier that a response repeats from its request
      */
-    ExtraResponseFilter(
-            TargetConnectionState state,
-            BooleanSupplier responseUnfinished,
-            TimerService timers,
-            String identifierHeader,
-            Listener listener) {
+    ExtraResponseFilter(TargetConnectionState state, TimerService timers, String identifierHeader, Listener listener) {
         this.state = state;
-        this.responseUnfinished = responseUnfinished;
         this.timers = timers;
         this.identifierHeader = identifierHeader;
         this.listener = listener;
@@ -88,7 +78,16 @@
         }
         refuseAmbiguousFraming(message);
         Decision decision = decide(message);
+        if (message instanceof LastHttpContent) {
+            extraTimeout.dispose();
+        } else if (decision == Decision.DISCARD && message instanceof HttpResponse) {
+            extraTimeout.dispose();
+            extraTimeout = timers.after(MAXIMUM_EXTRA_TIME).subscribe(() -> {
+                var unused = context.close();
+            });
+        }
         if (decision == Decision.DELIVER) {
+            refused |= isInvalid(message);
             super.channelRead(context, message);
             return;
         }
@@ -99,18 +98,6 @@
         }
     }
 
-    @Override
-    public void channelReadComplete(ChannelHandlerContext context) throws Exception {
-        super.channelReadComplete(context);
-        if (!state.waitsBehindExtraResponse() || !responseUnfinished.getAsBoolean()) {
-            extraTimeout.dispose();
-        } else if (extraTimeout.isDisposed()) {
-            extraTimeout = timers.after(MAXIMUM_EXTRA_TIME).subscribe(() -> {
-                var unused = context.close();
-            });
-        }
-    }
-
     @Override
     public void channelInactive(ChannelHandlerContext context) throws Exception {
         extraTimeout.dispose();
@@ -129,7 +116,7 @@
     }
 
     private Decision decide(Object message) {
-        if (message instanceof HttpObject part && part.decoderResult().isFailure()) {
+        if (isInvalid(message)) {
             // These bytes are no response; the HTTP client reports them.
             return Decision.DELIVER;
         }
@@ -147,11 +134,19 @@
             if (content instanceof LastHttpContent) {
                 state.responseEnd();
             }
-            return decision;
+            // The extra response was cut, and the next one is taken for its body.
+            boolean holdsResponse = decision == Decision.DISCARD
+                    && StatusLines.find(content.content().toString(StandardCharsets.ISO_8859_1), 0)
+                            .isPresent();
+            return holdsResponse ? Decision.CLOSE : decision;
         }
         return Decision.DELIVER;
     }
 
+    private static boolean isInvalid(Object message) {
+        return message instanceof HttpObject part && part.decoderResult().isFailure();
+    }
+
     /** Tells whether no other response can follow on the connection. */
     private static boolean endsConnection(HttpResponse response) {
         boolean framed = HttpUtil.isContentLengthSet(response)
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetConnectionTracker.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetConnectionTracker.java
@@ -67,7 +67,6 @@
                         FILTER,
                         new ExtraResponseFilter(
                                 state,
-                                codec::holdsUnfinishedResponse,
                                 timers,
                                 identifierHeader,
                                 (status, identifier) -> onExtraResponse(connection, state, status, identifier)));
--- a/fireflywalk-services/src/main/java/io/fireflywalk/services/http/ResponseCodec.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/http/ResponseCodec.java
@@ -67,7 +67,7 @@
     }
 
     /** Tells whether a response has begun and not ended, or bytes have come that may be the beginning of one. */
-    public boolean holdsUnfinishedResponse() {
+    private boolean holdsUnfinishedResponse() {
         return inboundHandler().holdsUnfinishedResponse();
     }
 
