Close connections on which a target switches protocols

What callers saw, in a review: 502 for a POST that had been sent on a connection on which the target had answered the earlier request a second time, with 101. A 101 with a known identifier was dropped as an extra response, but the decoder passes the bytes behind it on undecoded, so no response can follow. It closes the connection now.

ExtraResponseTest.noRequestIsSentBehindASwitchOfProtocols failed before and passes.

--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetConnectionState.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetConnectionState.java
@@ -102,9 +102,10 @@
         }
         discarding = true;
         extraResponses++;
-        boolean interim = status < STATUS_OK && status != STATUS_SWITCHING_PROTOCOLS;
+        boolean switchesProtocols = status == STATUS_SWITCHING_PROTOCOLS;
+        boolean interim = status < STATUS_OK;
         // After a HEAD request it is not known whether the codec looks for a body in the right response.
-        return !(known || interim) || carriedBodiless || extraResponses > MAXIMUM_EXTRA_RESPONSES
+        return switchesProtocols || !(known || interim) || carriedBodiless || extraResponses > MAXIMUM_EXTRA_RESPONSES
                 ? Decision.CLOSE
                 : Decision.DISCARD;
     }
