Refuse chunk sizes of more than eight digits

Callers saw a request with the chunk size (hexadecimal) run with a body of 4 bytes; the bytes that the caller had sent as the rest of the chunk were read as the next request. A response of a target was cut in the same way and delivered as a success.

Cause: HttpObjectDecoder computes a chunk size in 32 bits without a check for overflow beyond the sign, and skips whitespace in front of the digits.

Change: ChunkSizeCheck follows the steps of the decoder by the bytes that it consumes and the content that it emits, and so knows when a step begins with a chunk size. If the size has more than eight digits, or a byte other than a digit in front, the decoder gets an invalid size in place of it and all that follows, and refuses it as any other: the connection of the caller is closed without a response, the attempt at the target fails. StrictRequestDecoder and ResponseDecoder use it. Sizes of nine digits and more that are padded with zeros, which RFC 9112 allows, are refused too.

--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/StrictRequestDecoder.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/StrictRequestDecoder.java
@@ -2,6 +2,9 @@
 
 import io.fireflywalk.daemon.ingress.RequestFraming.Violation;
 import io.fireflywalk.daemon.ingress.RequestFraming.ViolationException;
+import io.fireflywalk.services.http.ChunkSizeCheck;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
@@ -11,15 +14,17 @@
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.impl.HttpServerConnection;
 import io.vertx.core.http.impl.VertxHttpRequestDecoder;
+import java.util.List;
 import java.util.Optional;
 
 /**
- * Request decoder that refuses what violates {@link RequestFraming}. After a refused request it drops all further bytes of
+ * Request decoder that refuses what violates {@link RequestFraming} or {@link ChunkSizeCheck}. After a refused request it drops all further bytes of
  * the connection, so that nothing that follows can run. Confined to one event loop.
  */
 final class StrictRequestDecoder extends VertxHttpRequestDecoder {
     private static final String DECODER_NAME = "httpDecoder";
 
+    private final ChunkSizeCheck chunkSizes = new ChunkSizeCheck();
     private int lengths;
 
     private StrictRequestDecoder(HttpServerOptions options) {
@@ -33,6 +38,13 @@
         pipeline.replace(DECODER_NAME, DECODER_NAME, new StrictRequestDecoder(options));
     }
 
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf input, List<Object> output) throws Exception {
+        ByteBuf checked = chunkSizes.beforeStep(input);
+        super.decode(context, checked, output);
+        chunkSizes.afterStep(checked, output);
+    }
+
     @Override
     protected HttpMessage createMessage(String[] initialLine) {
         lengths = 0;
--- a/fireflywalk-services/src/main/java/io/fireflywalk/services/http/ResponseDecoder.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/http/ResponseDecoder.java
@@ -18,11 +18,12 @@
 
 /**
  * Decoder of the responses on a connection. It decodes a response as invalid whose head or trailers contain a second status
- * line. Confined to the event loop of the connection.
+ * line, and a body as invalid that {@link ChunkSizeCheck} refuses. Confined to the event loop of the connection.
  */
 final class ResponseDecoder extends HttpResponseDecoder {
     private final BooleanSupplier requestInProgress;
     private final Listener listener;
+    private final ChunkSizeCheck chunkSizes = new ChunkSizeCheck();
     private boolean bodiless;
     private boolean decodingResponse;
     private boolean closed;
@@ -86,7 +87,9 @@
 
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf input, List<Object> output) throws Exception {
-        super.decode(context, input, output);
+        ByteBuf checked = chunkSizes.beforeStep(input);
+        super.decode(context, checked, output);
+        chunkSizes.afterStep(checked, output);
         if (!output.isEmpty() && output.get(output.size() - 1) instanceof LastHttpContent end) {
             decodingResponse = false;
             try {
