--- a/fireflywalk-services/src/main/java/io/fireflywalk/services/http/ResponseDecoder.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/http/ResponseDecoder.java
@@ -19,13 +19,15 @@
 
 /**
  * Decoder of the responses on a connection. It decodes a response as invalid whose head or trailers contain a second status
- * line, and nothing behind it. Confined to the event loop of the connection.
+ * line, and a body as invalid that {@link ChunkSizeCheck} refuses; nothing follows an invalid part. Confined to the event
+ * loop of the connection.
  */
 final class ResponseDecoder extends HttpResponseDecoder {
     private static final String PROTOCOL = "HTTP/";
 
     private final BooleanSupplier requestInProgress;
     private final Listener listener;
+    private final ChunkSizeCheck chunkSizes = new ChunkSizeCheck();
     private boolean bodiless;
     private boolean decodingResponse;
     /** True from the end of the head to that of the response. */
@@ -85,7 +87,9 @@
         int start = input.readerIndex();
         int expectedStatusLines = decodingResponse ? 0 : 1;
         boolean inHead = !decodingBody;
-        super.decode(context, input, output);
+        ByteBuf checked = chunkSizes.beforeStep(input);
+        super.decode(context, checked, output);
+        chunkSizes.afterStep(checked, output);
         if (inHead) {
             // The decoder drops some bytes of a head, so the decoded headers do not show all of it.
             String lines = input.toString(start, input.readerIndex() - start, StandardCharsets.ISO_8859_1);
