Refuse begun responses in all HTTP clients

Cause: only the ingress's connections to targets had the codec that refuses such heads; every other client kept the beginning in its decoder.

HttpClients.create makes clients for HTTP/1.1 without pipelining whose connections have that codec. The codec itself knows whether a request is in progress: from its head to the end of the next final response. Unfinished and joined responses are logged, and the connection is closed.

A whole response while no request is in progress closes the connection already in Vert.x; a test shows it. A whole second response that arrives behind the next request still cannot be told apart.

Not run: TLS, the rest of the suite.

--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/Daemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/Daemon.java
@@ -34,6 +34,7 @@
 import io.fireflywalk.daemon.settings.DaemonSettings;
 import io.fireflywalk.daemon.usage.UsageComponents;
 import io.fireflywalk.operator.message.StatusTable;
+import io.fireflywalk.services.http.HttpClients;
 import io.fireflywalk.services.instance.InstanceList;
 import io.fireflywalk.services.table.ResolvingTableService;
 import io.fireflywalk.services.table.TableMetrics;
@@ -45,6 +46,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.PoolOptions;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -117,8 +119,11 @@
         LoadView view = new LoadView(RunnerProfile.defaults());
         PrefixCacheEstimate cacheEstimate = new PrefixCacheEstimate();
         this.loadPoller = new LoadPoller(
-                vertx.createHttpClient(new HttpClientOptions()
-                        .setConnectTimeout((int) settings.targets().connectMilliseconds())),
+                HttpClients.create(
+                        vertx,
+                        new HttpClientOptions()
+                                .setConnectTimeout((int) settings.targets().connectMilliseconds()),
+                        new PoolOptions()),
                 timers,
                 coordination::snapshot,
                 settings.instance().name(),
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/TargetConnections.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/TargetConnections.java
@@ -2,6 +2,7 @@
 
 import io.fireflywalk.core.configuration.Target;
 import io.fireflywalk.daemon.settings.DaemonSettings.TargetSettings;
+import io.fireflywalk.services.http.HttpClients;
 import io.fireflywalk.services.time.TimerService;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -17,7 +18,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.WeakHashMap;
-import org.jboss.logging.Logger;
 
 /**
  * Pooled connections to targets. Evicts idle ones and sends no non-idempotent request over a connection that was idle
@@ -25,7 +25,6 @@
  * event loop.
  */
 public final class TargetConnections {
-    private static final Logger LOG = Logger.getLogger(TargetConnections.class);
     private static final int CONNECTIONS_PER_TARGET = 1024;
     private static final int MAXIMUM_WAITING_REQUESTS = 4096;
     private static final int POOL_CLEANER_PERIOD_MILLISECONDS = 1000;
@@ -63,14 +62,7 @@
                 .setHttp1MaxSize(CONNECTIONS_PER_TARGET)
                 .setMaxWaitQueueSize(MAXIMUM_WAITING_REQUESTS)
                 .setCleanerPeriod(POOL_CLEANER_PERIOD_MILLISECONDS);
-        return vertx.httpClientBuilder()
-                .with(options)
-                .with(pool)
-                .withConnectHandler(connection -> connection.exceptionHandler(
-                        // The attempt that uses the connection reports the failure; without a handler Vert.x logs
-                        // it as an error.
-                        cause -> LOG.debugf("event=target_connection_failed cause=\"%s\"", cause)))
-                .build();
+        return HttpClients.create(vertx, options, pool);
     }
 
     /**
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/PeerConfigurationSync.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/PeerConfigurationSync.java
@@ -1,6 +1,7 @@
 package io.fireflywalk.daemon.ingress;
 
 import io.fireflywalk.daemon.ingress.FleetCoordinator.Peer;
+import io.fireflywalk.services.http.HttpClients;
 import io.fireflywalk.services.time.TimerService;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -9,6 +10,7 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import java.time.Duration;
 import java.util.List;
@@ -48,7 +50,8 @@
             TableWatcher configurationWatcher,
             FleetCoordinator coordinator) {
         this.vertx = vertx;
-        this.client = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout((int) CALL_TIMEOUT.toMillis()));
+        this.client = HttpClients.create(
+                vertx, new HttpClientOptions().setConnectTimeout((int) CALL_TIMEOUT.toMillis()), new PoolOptions());
         this.timers = timers;
         this.random = random;
         this.configuration = configuration;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/peer/PeerClient.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/peer/PeerClient.java
@@ -4,6 +4,7 @@
 import io.fireflywalk.core.error.FireflywalkException;
 import io.fireflywalk.core.membership.Member;
 import io.fireflywalk.services.codec.Codec;
+import io.fireflywalk.services.http.HttpClients;
 import io.fireflywalk.services.http.RxFutures;
 import io.reactivex.rxjava3.core.Single;
 import io.vertx.core.Future;
@@ -25,7 +26,8 @@
     private final HttpClient client;
 
     public PeerClient(Vertx vertx, Duration connectTimeout) {
-        this.client = vertx.createHttpClient(
+        this.client = HttpClients.create(
+                vertx,
                 new HttpClientOptions().setConnectTimeout((int) connectTimeout.toMillis()),
                 new PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_PEER).setMaxWaitQueueSize(MAXIMUM_QUEUED_CALLS));
     }
--- a/fireflywalk-operator/src/main/java/io/fireflywalk/operator/cli/OperatorClient.java
+++ b/fireflywalk-operator/src/main/java/io/fireflywalk/operator/cli/OperatorClient.java
@@ -7,11 +7,13 @@
 import io.fireflywalk.operator.message.OperatorMessages;
 import io.fireflywalk.services.codec.Codec;
 import io.fireflywalk.services.configuration.DocumentCodec;
+import io.fireflywalk.services.http.HttpClients;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.net.PemTrustOptions;
 import java.net.URI;
@@ -38,7 +40,7 @@
         HttpClientOptions options = new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLISECONDS);
         certificateAuthorityFile.ifPresent(
                 file -> options.setTrustOptions(new PemTrustOptions().addCertPath(file.toString())));
-        this.client = vertx.createHttpClient(options);
+        this.client = HttpClients.create(vertx, options, new PoolOptions());
     }
 
     static OperatorClient of(CommandOptions.Server options) {
--- a/fireflywalk-services/src/main/java/io/fireflywalk/services/http/HttpServiceClient.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/http/HttpServiceClient.java
@@ -24,7 +24,8 @@
     private final Duration deadline;
 
     public HttpServiceClient(Vertx vertx, String host, int port, Duration deadline) {
-        this.client = vertx.createHttpClient(
+        this.client = HttpClients.create(
+                vertx,
                 new HttpClientOptions().setConnectTimeout((int) deadline.toMillis()),
                 new PoolOptions().setHttp1MaxSize(MAXIMUM_CONNECTIONS).setMaxWaitQueueSize(MAXIMUM_QUEUED_CALLS));
         this.host = host;
--- a/fireflywalk-services/src/main/java/io/fireflywalk/services/http/ResponseCodec.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/http/ResponseCodec.java
@@ -3,6 +3,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.CombinedChannelDuplexHandler;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
@@ -11,6 +12,7 @@
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.impl.HttpClientConnectionInternal;
 import java.io.IOException;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 
 /**
@@ -52,7 +54,21 @@
             HttpHeadersFactory headers,
             BooleanSupplier requestInProgress,
             Listener listener) {
-        ResponseCodec codec = new ResponseCodec(new ResponseDecoder(headers, requestInProgress, listener));
+        return install(connection, new ResponseDecoder(headers, Optional.of(requestInProgress), listener));
+    }
+
+    /**
+     * Replaces the codec of a new connection, which must not have read anything yet. A request is in progress from its
+     * head to the end of the next final response.
+     */
+    public static ResponseCodec install(HttpConnection connection, Listener listener) {
+        return install(
+                connection,
+                new ResponseDecoder(DefaultHttpHeadersFactory.headersFactory(), Optional.empty(), listener));
+    }
+
+    private static ResponseCodec install(HttpConnection connection, ResponseDecoder decoder) {
+        ResponseCodec codec = new ResponseCodec(decoder);
         // The HTTP client has no public hook for its codec.
         ((HttpClientConnectionInternal) connection)
                 .channelHandlerContext()
--- a/fireflywalk-services/src/main/java/io/fireflywalk/services/http/ResponseDecoder.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/http/ResponseDecoder.java
@@ -8,7 +8,9 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.vertx.core.http.HttpClientOptions;
 import java.util.List;
@@ -23,11 +25,19 @@
 final class ResponseDecoder extends HttpResponseDecoder {
     private final BooleanSupplier requestInProgress;
     private final Listener listener;
+    private boolean finalResponseDue;
+    private boolean interim;
     private boolean bodiless;
     private boolean decodingResponse;
     private boolean closed;
 
-    ResponseDecoder(HttpHeadersFactory headers, BooleanSupplier requestInProgress, Listener listener) {
+    /**
+     * Creates the decoder of one connection.
+     *
+     * @param requestInProgress tells whether a request on the connection waits for the end of its response; by default,
+     *     one does from when it is sent to the end of the next final response
+     */
+    ResponseDecoder(HttpHeadersFactory headers, Optional<BooleanSupplier> requestInProgress, Listener listener) {
         // The limits are those of the HTTP client's own codec.
         super(new HttpDecoderConfig()
                 .setMaxInitialLineLength(HttpClientOptions.DEFAULT_MAX_INITIAL_LINE_LENGTH)
@@ -35,7 +45,7 @@
                 .setMaxChunkSize(HttpClientOptions.DEFAULT_MAX_CHUNK_SIZE)
                 .setInitialBufferSize(HttpClientOptions.DEFAULT_DECODER_INITIAL_BUFFER_SIZE)
                 .setHeadersFactory(headers));
-        this.requestInProgress = requestInProgress;
+        this.requestInProgress = requestInProgress.orElse(() -> finalResponseDue);
         this.listener = listener;
     }
 
@@ -45,6 +55,7 @@
      * @param withoutBody true if the response has no body whatever its head says, as that to a HEAD request
      */
     void requestSent(boolean withoutBody) {
+        finalResponseDue = true;
         bodiless = withoutBody;
     }
 
@@ -67,6 +78,7 @@
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         refuseStatusLines(message.headers());
+        interim = ((HttpResponse) message).status().codeClass() == HttpStatusClass.INFORMATIONAL;
         return bodiless || super.isContentAlwaysEmpty(message);
     }
 
@@ -89,6 +101,7 @@
         super.decode(context, input, output);
         if (!output.isEmpty() && output.get(output.size() - 1) instanceof LastHttpContent end) {
             decodingResponse = false;
+            finalResponseDue &= interim;
             try {
                 refuseStatusLines(end.trailingHeaders());
             } catch (IllegalArgumentException exception) {
--- a/fireflywalk-services/src/main/java/io/fireflywalk/services/order/JsonHttpClient.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/order/JsonHttpClient.java
@@ -2,6 +2,7 @@
 
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
+import io.fireflywalk.services.http.HttpClients;
 import io.fireflywalk.services.http.RxFutures;
 import io.reactivex.rxjava3.core.Single;
 import io.vertx.core.Future;
@@ -28,7 +29,8 @@
 
     JsonHttpClient(Vertx vertx, Duration deadline) {
         // Keep-alive is off: a pooled connection may have stopped responding while new connections still work.
-        this.client = vertx.createHttpClient(
+        this.client = HttpClients.create(
+                vertx,
                 new HttpClientOptions().setKeepAlive(false).setConnectTimeout((int) deadline.toMillis()),
                 new PoolOptions().setHttp1MaxSize(MAXIMUM_CONNECTIONS).setMaxWaitQueueSize(MAXIMUM_QUEUED_CALLS));
         this.deadline = deadline;
--- a/fireflywalk-services/src/main/java/io/fireflywalk/services/table/HttpTableService.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/table/HttpTableService.java
@@ -3,6 +3,7 @@
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
 import io.fireflywalk.services.codec.Codec;
+import io.fireflywalk.services.http.HttpClients;
 import io.fireflywalk.services.http.RxFutures;
 import io.reactivex.rxjava3.core.Single;
 import io.vertx.core.Future;
@@ -11,6 +12,7 @@
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
@@ -32,10 +34,10 @@
     private final Duration deadline;
 
     public HttpTableService(Vertx vertx, String host, int port, Duration deadline) {
-        this.client = vertx.httpClientBuilder()
-                .with(new HttpClientOptions().setConnectTimeout((int) deadline.toMillis()))
-                .with(new io.vertx.core.http.PoolOptions().setHttp1MaxSize(MAXIMUM_CONNECTIONS))
-                .build();
+        this.client = HttpClients.create(
+                vertx,
+                new HttpClientOptions().setConnectTimeout((int) deadline.toMillis()),
+                new PoolOptions().setHttp1MaxSize(MAXIMUM_CONNECTIONS));
         this.host = host;
         this.port = port;
         this.deadline = deadline;
--- a/fireflywalk-services/src/test/java/io/fireflywalk/services/http/BegunResponseProperties.java
+++ b/fireflywalk-services/src/test/java/io/fireflywalk/services/http/BegunResponseProperties.java
@@ -13,6 +13,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
@@ -96,7 +97,9 @@
 
     private static ResponseDecoder decoder(boolean requestInProgress) {
         return new ResponseDecoder(
-                DefaultHttpHeadersFactory.headersFactory(), () -> requestInProgress, new ResponseCodec.Listener() {
+                DefaultHttpHeadersFactory.headersFactory(),
+                Optional.of(() -> requestInProgress),
+                new ResponseCodec.Listener() {
                     @Override
                     public void onJoinedHead(String statusLine) {}
 
