--- a/fireflywalk-services/src/main/java/io/fireflywalk/services/http/ResponseDecoder.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/http/ResponseDecoder.java
@@ -8,7 +8,9 @@
 import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.http.HttpClientOptions;
@@ -28,6 +30,8 @@
     private final BooleanSupplier requestInProgress;
     private final Listener listener;
     private final ChunkSizeCheck chunkSizes = new ChunkSizeCheck();
+    private boolean finalResponseDue;
+    private boolean interim;
     private boolean bodiless;
     private boolean decodingResponse;
     /** True from the end of the head to that of the response. */
@@ -37,7 +41,13 @@
     private boolean failed;
     private boolean closed;
 
-    ResponseDecoder(HttpHeadersFactory headers, BooleanSupplier requestInProgress, Listener listener) {
+    /**
+     * Creates the decoder of one connection.
+     *
+     * @param requestInProgress tells whether a request on the connection waits for the end of its response; by default,
+     *     one does from when it is sent to the end of the next final response
+     */
+    ResponseDecoder(HttpHeadersFactory headers, Optional<BooleanSupplier> requestInProgress, Listener listener) {
         // The limits are those of the HTTP client's own codec.
         super(new HttpDecoderConfig()
                 .setMaxInitialLineLength(HttpClientOptions.DEFAULT_MAX_INITIAL_LINE_LENGTH)
@@ -45,7 +55,7 @@
                 .setMaxChunkSize(HttpClientOptions.DEFAULT_MAX_CHUNK_SIZE)
                 .setInitialBufferSize(HttpClientOptions.DEFAULT_DECODER_INITIAL_BUFFER_SIZE)
                 .setHeadersFactory(headers));
-        this.requestInProgress = requestInProgress;
+        this.requestInProgress = requestInProgress.orElse(() -> finalResponseDue);
         this.listener = listener;
     }
 
@@ -55,6 +65,7 @@
      * @param withoutBody true if the response has no body whatever its head says, as that to a HEAD request
      */
     void requestSent(boolean withoutBody) {
+        finalResponseDue = true;
         bodiless = withoutBody;
     }
 
@@ -74,6 +85,7 @@
 
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
+        interim = ((HttpResponse) message).status().codeClass() == HttpStatusClass.INFORMATIONAL;
         return bodiless || super.isContentAlwaysEmpty(message);
     }
 
@@ -108,6 +120,7 @@
         if (output.get(output.size() - 1) instanceof LastHttpContent end) {
             decodingResponse = false;
             decodingBody = false;
+            finalResponseDue &= interim;
             secondStatusLine = end.trailingHeaders().entries().stream()
                     .flatMap(trailer -> StatusLines.find(trailer.getValue(), 0).stream())
                     .findFirst();
--- a/fireflywalk-services/src/test/java/io/fireflywalk/services/http/ChunkSizeProperties.java
+++ b/fireflywalk-services/src/test/java/io/fireflywalk/services/http/ChunkSizeProperties.java
@@ -14,6 +14,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.Random;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
@@ -87,7 +88,7 @@
 
     private static EmbeddedChannel channel() {
         return new EmbeddedChannel(new ResponseDecoder(
-                DefaultHttpHeadersFactory.headersFactory(), () -> true, new ResponseCodec.Listener() {
+                DefaultHttpHeadersFactory.headersFactory(), Optional.of(() -> true), new ResponseCodec.Listener() {
                     @Override
                     public void onJoinedHead(String statusLine) {}
 
