Search chunk sizes and trailers for a status line, and check the first line

Chunk sizes and trailers are searched as they were received, as heads are, and a first line that the search would not find is invalid. Every invalid part ends the decoding, and no request is written behind one.

BegunResponseProperties has both as properties.

--- a/fireflywalk-services/src/main/java/io/fireflywalk/services/http/ResponseCodec.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/http/ResponseCodec.java
@@ -82,17 +82,12 @@
         return inboundHandler().acceptsRequests();
     }
 
-    /** Tells whether a response has begun and not ended, or bytes have come that may be the beginning of one. */
-    private boolean holdsUnfinishedResponse() {
-        return inboundHandler().holdsUnfinishedResponse();
-    }
-
     @Override
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) throws Exception {
         if (message instanceof HttpRequest request) {
-            if (holdsUnfinishedResponse()) {
+            if (!acceptsRequests()) {
                 ReferenceCountUtil.release(message);
-                promise.setFailure(new IOException("the connection holds the beginning of a response"));
+                promise.setFailure(new IOException("the connection is closed or holds the beginning of a response"));
                 var unused = context.close();
                 return;
             }
--- a/fireflywalk-services/src/main/java/io/fireflywalk/services/http/ResponseDecoder.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/http/ResponseDecoder.java
@@ -4,6 +4,8 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.HttpMessage;
@@ -80,6 +82,9 @@
     @Override
     protected HttpMessage createMessage(String[] initialLine) {
         decodingResponse = true;
+        if (!StatusLines.isStatusLine(initialLine[0], initialLine[1])) {
+            throw new IllegalArgumentException("the first line of a response is no status line");
+        }
         return super.createMessage(initialLine);
     }
 
@@ -102,8 +107,9 @@
         ByteBuf checked = chunkSizes.beforeStep(input);
         super.decode(context, checked, output);
         chunkSizes.afterStep(checked, output);
-        if (inHead) {
-            // The decoder drops some bytes of a head, so the decoded headers do not show all of it.
+        if (inHead || !holdsContent(output)) {
+            // The decoder drops some bytes of heads, chunk sizes and trailers, so what is decoded does not show all of
+            // them.
             String lines = input.toString(start, input.readerIndex() - start, StandardCharsets.ISO_8859_1);
             secondStatusLine = secondStatusLine.or(() -> StatusLines.find(lines, expectedStatusLines));
         }
@@ -112,32 +118,44 @@
         }
     }
 
+    private static boolean holdsContent(List<Object> output) {
+        return output.stream()
+                .anyMatch(part ->
+                        part instanceof HttpContent content && content.content().isReadable());
+    }
+
     private void checkDecoded(List<Object> output) {
         if (output.get(0) instanceof HttpMessage head) {
             decodingBody = true;
-            refuse(head, output);
+            if (secondStatusLine.isPresent() && head.decoderResult().isSuccess()) {
+                head.setDecoderResult(refusal());
+                releaseBehind(output, 1);
+            }
         }
-        if (output.get(output.size() - 1) instanceof LastHttpContent end) {
+        int last = output.size() - 1;
+        if (output.get(last) instanceof LastHttpContent end) {
             decodingResponse = false;
             decodingBody = false;
             finalResponseDue &= interim;
-            secondStatusLine = end.trailingHeaders().entries().stream()
-                    .flatMap(trailer -> StatusLines.find(trailer.getValue(), 0).stream())
-                    .findFirst();
-            refuse(end, output);
+            if (secondStatusLine.isPresent() && end.decoderResult().isSuccess()) {
+                LastHttpContent invalid = new DefaultLastHttpContent();
+                invalid.setDecoderResult(refusal());
+                releaseBehind(output, last);
+                output.add(invalid);
+            }
+            secondStatusLine = Optional.empty();
         }
+        failed = output.stream()
+                .anyMatch(part -> ((HttpObject) part).decoderResult().isFailure());
     }
 
-    /** Makes a part invalid if a second status line has been found, and drops what was decoded behind it. */
-    private void refuse(HttpObject part, List<Object> output) {
-        if (secondStatusLine.isEmpty() || part.decoderResult().isFailure()) {
-            return;
-        }
-        listener.onJoinedHead(secondStatusLine.get());
-        part.setDecoderResult(DecoderResult.failure(
-                new IllegalArgumentException("the head of a response contains a second status line")));
-        failed = true;
-        while (output.get(output.size() - 1) != part) {
+    private DecoderResult refusal() {
+        listener.onJoinedHead(secondStatusLine.orElseThrow());
+        return DecoderResult.failure(new IllegalArgumentException("a response contains a second status line"));
+    }
+
+    private static void releaseBehind(List<Object> output, int kept) {
+        while (output.size() > kept) {
             ReferenceCountUtil.release(output.remove(output.size() - 1));
         }
     }
--- a/fireflywalk-services/src/main/java/io/fireflywalk/services/http/StatusLines.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/http/StatusLines.java
@@ -7,7 +7,7 @@
 /** Finds status lines within text. Stateless. */
 public final class StatusLines {
     /**
-     * A protocol version and a status code, as leniently as the decoder reads them, up to the end of a word. A header such
+     * A protocol version and a status code, up to the end of a word, as leniently as the decoder takes them. A header such
      * as Via names a protocol without a status code behind it.
      */
     private static final Pattern STATUS_LINE =
@@ -15,6 +15,11 @@
 
     private StatusLines() {}
 
+    /** Tells whether the words are the version and the code of a status line, so that it is found in the head it begins. */
+    static boolean isStatusLine(String version, String code) {
+        return STATUS_LINE.matcher(version + " " + code).matches();
+    }
+
     /**
      * Returns the rest of the line that begins with a status line; nothing if there is none.
      *
--- a/fireflywalk-services/src/test/java/io/fireflywalk/services/http/BegunResponseProperties.java
+++ b/fireflywalk-services/src/test/java/io/fireflywalk/services/http/BegunResponseProperties.java
@@ -198,15 +198,34 @@
         channel.finishAndReleaseAll();
     }
 
+    @Provide
+    Arbitrary<String> lastChunk() {
+        return Arbitraries.of("0\r", "0 ", "0;a=", "0\r\n", "0\r\nChecksum", "0\r\nChecksum ", "0\r\nChecksum: 12");
+    }
+
     @Property(tries = 1000)
-    void trailersWithAStatusLineAreInvalid(@ForAll("own") Response own, @ForAll long seed) {
-        String beginning = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nChecksum: 12";
+    void endOfABodyWithAStatusLineIsInvalid(
+            @ForAll("lastChunk") String lastChunk, @ForAll("own") Response own, @ForAll long seed) {
+        String beginning = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + lastChunk;
         EmbeddedChannel channel = new EmbeddedChannel(decoder(true));
         List<HttpObject> decoded = decode(channel, beginning + own.text(), new Random(seed));
         assertEquals(1, decoded.size());
         channel.finishAndReleaseAll();
     }
 
+    @Property
+    void responseThatDoesNotBeginWithAStatusLineIsInvalid(
+            @ForAll("firstWords") String firstWords, @ForAll("own") Response own, @ForAll long seed) {
+        EmbeddedChannel channel = new EmbeddedChannel(decoder(true));
+        assertEquals(List.of(), decode(channel, firstWords + " O" + own.text(), new Random(seed)));
+        channel.finishAndReleaseAll();
+    }
+
+    @Provide
+    Arbitrary<String> firstWords() {
+        return Arbitraries.of("HTTP/1.1\u0000 200", "HTTP/1.1\u0001 204", "HTTP/1.1 -00", "ICY 200", "HTTP/1.1 20x");
+    }
+
     @Example
     void requestIsNotWrittenWithinTheReadThatHoldsABeginning() {
         EmbeddedChannel channel = new EmbeddedChannel(new ResponseCodec(decoder(true)));
