--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressPlatform.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressPlatform.java
@@ -1,5 +1,7 @@
 package io.fireflywalk.daemon.ingress;
 
+import java.util.Set;
+
 /** Interface to a platform. Its adapters only translate calls and formats and contain no policy. */
 public interface IngressPlatform {
 
@@ -20,4 +22,7 @@
 
     /** Returns the client that sends commands to runners. */
     TargetCommands targetCommands();
+
+    /** Returns the optional features that the settings of the deployment ask for. */
+    Set<DeploymentFeature> features();
 }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressSettings.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressSettings.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Settings of an ingress process. Immutable.
@@ -19,8 +20,24 @@
  * @param store address of the platform's store
  * @param reports address of the control plane; empty to disable usage reports and scaling
  * @param bounds limits set by the platform's operator
+ * @param features names of the platform's features that are in force on this deployment; unknown ones are ignored
  */
-public record IngressSettings(Instance instance, Listen listen, String store, String reports, Bounds bounds) {
+public record IngressSettings(
+        Instance instance,
+        Listen listen,
+        String store,
+        String reports,
+        Bounds bounds,
+        Optional<List<String>> features) {
+
+    public IngressSettings {
+        features = features.map(List::copyOf);
+    }
+
+    /** Creates settings of a deployment without optional features. */
+    public IngressSettings(Instance instance, Listen listen, String store, String reports, Bounds bounds) {
+        this(instance, listen, store, reports, bounds, Optional.empty());
+    }
 
     /** Name and location of the instance. */
     public record Instance(String name, String availabilityZone, String host) {}
