--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/DaemonMain.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/DaemonMain.java
@@ -15,6 +15,8 @@
 import io.vertx.core.Vertx;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import org.jboss.logging.Logger;
 
 /** Command line of the daemon. */
@@ -35,6 +37,12 @@
     static final class ServeOptions {
         @Parameter(names = "--settings", description = "YAML settings file", required = true)
         Path settings;
+
+        @Parameter(
+                names = "--features",
+                description = "names of the platform's features in force, in addition to those of the settings file;"
+                        + " unknown ones are ignored")
+        List<String> features = new ArrayList<>();
     }
 
     /** Options of the demo command. */
@@ -62,7 +70,7 @@
             } else if (commander.getParsedCommand().equals("run")) {
                 run(SettingsLoader.load(run.settings));
             } else if (commander.getParsedCommand().equals("serve")) {
-                ServeCommand.run(IngressSettings.load(serve.settings));
+                ServeCommand.run(IngressSettings.load(serve.settings).withFeatures(serve.features));
             } else {
                 Demo.run(demo.port);
             }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressSettings.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressSettings.java
@@ -39,6 +39,13 @@
         this(instance, listen, store, reports, bounds, Optional.empty());
     }
 
+    /** Returns the settings with further features. */
+    public IngressSettings withFeatures(List<String> added) {
+        List<String> all = new ArrayList<>(features.orElse(List.of()));
+        all.addAll(added);
+        return new IngressSettings(instance, listen, store, reports, bounds, Optional.of(all));
+    }
+
     /** Name and location of the instance. */
     public record Instance(String name, String availabilityZone, String host) {}
 
