--- a/fireflywalk-benchmark/src/main/java/io/fireflywalk/benchmark/requestpath/StreamMeasurement.java
+++ b/fireflywalk-benchmark/src/main/java/io/fireflywalk/benchmark/requestpath/StreamMeasurement.java
@@ -5,6 +5,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
@@ -93,8 +94,7 @@
     private Future<Long> heapBytes() {
         return operatorClient
                 .request(HttpMethod.GET, system.operatorPort(), MeasuredSystem.HOST, "/metrics")
-                .compose(request -> request.send())
-                .compose(response -> response.body())
+                .compose(request -> request.send().compose(HttpClientResponse::body))
                 .map(body -> {
                     Matcher matcher = HEAP.matcher(body.toString());
                     return matcher.find() ? Long.parseLong(matcher.group(1)) : 0L;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/TargetConnections.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/gateway/TargetConnections.java
@@ -9,6 +9,7 @@
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
@@ -126,8 +127,7 @@
                 .setTimeout(CANCEL_TIMEOUT_MILLISECONDS)
                 .setIdleTimeout(CANCEL_TIMEOUT_MILLISECONDS);
         client.request(options)
-                .compose(HttpClientRequest::send)
-                .compose(response -> response.end())
+                .compose(request -> request.send().compose(HttpClientResponse::end))
                 .onFailure(ignored -> {
                     // The engine also sees the closed connection, and a failed engine has nothing to cancel.
                 });
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/PeerConfigurationSync.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/PeerConfigurationSync.java
@@ -93,13 +93,13 @@
                 .setTimeout(CALL_TIMEOUT.toMillis())
                 .setIdleTimeout(CALL_TIMEOUT.toMillis());
         client.request(options)
-                .compose(request -> request.send())
-                .compose(response -> response.body().map(body -> {
-                    if (response.statusCode() == STATUS_OK) {
-                        configuration.applyIfNewer(body, peer.host());
-                    }
-                    return body;
-                }))
+                .compose(request -> request.send()
+                        .compose(response -> response.body().map(body -> {
+                            if (response.statusCode() == STATUS_OK) {
+                                configuration.applyIfNewer(body, peer.host());
+                            }
+                            return body;
+                        })))
                 .onFailure(
                         cause -> LOG.debugf("event=peer_silent peer=%s cause=\"%s\"", peer.host(), cause.getMessage()));
     }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/peer/PeerClient.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/peer/PeerClient.java
@@ -52,9 +52,10 @@
 
     private Future<ReceivedResponse> send(RequestOptions options, Buffer body) {
         return client.request(options)
-                .compose(request -> request.send(body))
-                .compose(response -> response.body()
-                        .map(responseBody -> new ReceivedResponse(response.statusCode(), responseBody.toString())));
+                .compose(request -> request.send(body)
+                        .compose(response -> response.body()
+                                .map(responseBody ->
+                                        new ReceivedResponse(response.statusCode(), responseBody.toString()))));
     }
 
     private record ReceivedResponse(int status, String body) {}
--- a/fireflywalk-services/src/main/java/io/fireflywalk/services/http/HttpServiceClient.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/http/HttpServiceClient.java
@@ -48,9 +48,13 @@
     }
 
     private Future<Response> send(RequestOptions options, Buffer body) {
+        // The body is asked for in the turn of the event loop in which the response arrives; a thread other than the
+        // event
+        // loop's may add a handler to the outer future later, when a short response has ended already.
         return client.request(options)
-                .compose(request -> request.send(body))
-                .compose(response -> response.body().map(content -> new Response(response.statusCode(), content)));
+                .compose(request -> request.send(body)
+                        .compose(response ->
+                                response.body().map(content -> new Response(response.statusCode(), content))));
     }
 
     /** Status and body of a response. */
--- a/fireflywalk-services/src/main/java/io/fireflywalk/services/order/JsonHttpClient.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/order/JsonHttpClient.java
@@ -51,10 +51,11 @@
 
     private Future<Response> send(RequestOptions options, String body) {
         return client.request(options)
-                .compose(request ->
-                        request.putHeader("content-type", "application/json").send(Buffer.buffer(body)))
-                .compose(response -> response.body()
-                        .map(content -> new Response(response.statusCode(), content.toString(StandardCharsets.UTF_8))));
+                .compose(request -> request.putHeader("content-type", "application/json")
+                        .send(Buffer.buffer(body))
+                        .compose(response -> response.body()
+                                .map(content -> new Response(
+                                        response.statusCode(), content.toString(StandardCharsets.UTF_8)))));
     }
 
     /** Status and body of a response. */
