--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
@@ -44,7 +44,7 @@
     private static final int MINIMUM_REQUESTS_PER_TARGET = 4;
     private static final Duration TARGET_POLL_INTERVAL = Duration.ofMillis(400);
     /** Bounds the calls of a reader while many targets change. */
-    private static final Duration RELAYED_TARGET_POLL_INTERVAL = Duration.ofMillis(100);
+    private static final Duration RELAYED_TARGET_POLL_INTERVAL = Duration.ofMillis(300);
 
     private static final Duration CONFIGURATION_POLL_INTERVAL = Duration.ofMillis(20);
     /** Short enough to detect an unresponsive connection within the time in which a change must take effect. */
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TableWatcher.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TableWatcher.java
@@ -8,6 +8,7 @@
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.disposables.Disposable;
+import io.reactivex.rxjava3.functions.Action;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -32,6 +33,11 @@
     private static final Duration BASE_BACKOFF = Duration.ofMillis(100);
     /** Well below the time within which a change must take effect. */
     private static final Duration MAXIMUM_BACKOFF = Duration.ofMillis(600);
+    /**
+     * Shortest time before the table is read because relayed changes were lost, which usually are several at once. It
+     * doubles at random, so that the instances of a zone do not call together.
+     */
+    private static final Duration MINIMUM_GAP_DELAY = Duration.ofMillis(150);
     /** Added to the longest time between two calls of a reader before its relay counts as silent. */
     private static final Duration RELAY_MARGIN = Duration.ofMillis(900);
 
@@ -49,12 +55,17 @@
     /** Version at or after the last change of the table that is known. */
     private long changedVersion = -1;
 
+    /** Version up to which a relay has shown that there are changes. */
+    private long announcedVersion = -1;
+
     private int failures;
     private boolean callInFlight;
+    private boolean gapPollPending;
     private boolean stopped;
     private long lastSuccessAt;
     private long lastOwnReadAt;
     private long recoveredAt;
+    private Disposable activeCall = Disposable.disposed();
     private Disposable pendingTask = Disposable.disposed();
 
     /** Receives the rows of the table. */
@@ -115,6 +126,7 @@
 
     void stop() {
         stopped = true;
+        activeCall.dispose();
         pendingTask.dispose();
     }
 
@@ -132,13 +144,30 @@
         }
     }
 
+    /** Reads the table soon, unless later messages of the relay contain what is missing. */
+    private void pollForGap() {
+        if (callInFlight || gapPollPending || failures > 0) {
+            return;
+        }
+        long jitter = random.nextLong(MINIMUM_GAP_DELAY.toNanos());
+        schedule(MINIMUM_GAP_DELAY.plusNanos(jitter), this::pollUnlessRelayed);
+        gapPollPending = true;
+    }
+
+    private void schedule(Duration delay, Action task) {
+        pendingTask.dispose();
+        gapPollPending = false;
+        pendingTask = timers.after(delay).subscribe(task);
+    }
+
     /** Applies changes that another instance read, or reads the table if earlier changes were lost. */
     void onRelayed(RelayedChanges changes) {
         if (!loaded() || stopped) {
             return;
         }
         if (changes.after() > version) {
-            pollNow();
+            announcedVersion = Math.max(announcedVersion, changes.after());
+            pollForGap();
             return;
         }
         // An older version says nothing about the present; its sender may have been suspended since.
@@ -189,16 +218,18 @@
 
     private void poll() {
         callInFlight = true;
+        gapPollPending = false;
         Completable call = version < 0 ? readAll("", new ArrayList<>(), version) : readChanges();
-        pendingTask = call.subscribe(this::onSuccess, this::onFailure);
+        activeCall = call.subscribe(this::onSuccess, this::onFailure);
     }
 
     private void pollUnlessRelayed() {
         Duration untilSilent = relayTimeout().minus(timeSinceLastResponse());
-        if (reads.getAsBoolean() || untilSilent.isNegative() || untilSilent.isZero()) {
+        boolean complete = version >= announcedVersion;
+        if (reads.getAsBoolean() || !complete || untilSilent.isNegative() || untilSilent.isZero()) {
             poll();
         } else {
-            pendingTask = timers.after(untilSilent).subscribe(this::pollUnlessRelayed);
+            schedule(untilSilent, this::pollUnlessRelayed);
         }
     }
 
@@ -206,7 +237,7 @@
         callInFlight = false;
         lastOwnReadAt = timers.monotonicNanoseconds();
         recordSuccess(lastOwnReadAt);
-        pendingTask = timers.after(pollInterval).subscribe(this::pollUnlessRelayed);
+        schedule(pollInterval, this::pollUnlessRelayed);
     }
 
     private void recordSuccess(long readAt) {
@@ -227,13 +258,14 @@
         }
         failures++;
         if (failures == 1) {
-            pendingTask = timers.after(FIRST_RETRY_DELAY).subscribe(this::poll);
+            schedule(FIRST_RETRY_DELAY, this::poll);
             return;
         }
         long maximumDelay =
                 Math.min(MAXIMUM_BACKOFF.toMillis(), BASE_BACKOFF.toMillis() << Math.min(MAXIMUM_DOUBLINGS, failures));
         long delay = maximumDelay / 2 + random.nextLong(maximumDelay / 2 + 1);
-        pendingTask = timers.after(Duration.ofMillis(delay)).subscribe(this::poll);
+        // A store that turns only some instances away may still reach this one through the relay.
+        schedule(Duration.ofMillis(delay), this::pollUnlessRelayed);
     }
 
     /**
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/TableWatcherTest.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/TableWatcherTest.java
@@ -12,9 +12,13 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against changes that are missed during an outage of the store or after it has dropped its history. */
 class TableWatcherTest {
@@ -114,4 +118,50 @@
         advanceTime(300);
         assertTrue(watcher.timeSinceRecovery().compareTo(Duration.ofSeconds(5)) > 0);
     }
+
+    /** Changes of the store up to its present version, as an instance that reads relays them. */
+    private TableWatcher.RelayedChanges relayed(long after, long version, String... keys) {
+        List<FleetRow> rows = Stream.of(keys)
+                .map(key -> new FleetRow(key, version, Optional.of(Buffer.buffer("value"))))
+                .toList();
+        return new TableWatcher.RelayedChanges(after, version, Duration.ZERO, rows);
+    }
+
+    @Test
+    void instanceThatTheStoreTurnsAwayMakesNoCallsWhileTheRelayIsComplete() {
+        put("a");
+        watcher.useRelay(() -> false, (after, rows) -> {});
+        watcher.start();
+        store.unavailable = true;
+        watcher.pollNow();
+        advanceTime(500);
+        int calls = store.reads;
+        for (int notice = 0; notice < 20; notice++) {
+            watcher.onRelayed(relayed(1, 1));
+            advanceTime(400);
+        }
+        assertTrue(store.reads <= calls + 1, "calls " + (store.reads - calls));
+        assertTrue(watcher.timeSinceLastResponse().compareTo(Duration.ofSeconds(1)) < 0);
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void severalLostMessagesOfTheRelayCostOneCall(boolean missingPartArrives) {
+        put("a");
+        watcher.useRelay(() -> false, (after, rows) -> {});
+        watcher.start();
+        advanceTime(150);
+        int calls = store.reads;
+        put("b");
+        put("c");
+        put("d");
+        watcher.onRelayed(relayed(2, 3, "c"));
+        watcher.onRelayed(relayed(3, 4, "d"));
+        if (missingPartArrives) {
+            watcher.onRelayed(relayed(1, 4, "b", "c", "d"));
+        }
+        advanceTime(900);
+        assertEquals(calls + (missingPartArrives ? 0 : 1), store.reads);
+        assertEquals(List.of("all [a]", "changed [b, c, d]"), notifications);
+    }
 }
