--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/FleetCoordinator.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/FleetCoordinator.java
@@ -9,6 +9,7 @@
 import io.fireflywalk.services.codec.Codec;
 import io.fireflywalk.services.time.TimerService;
 import io.reactivex.rxjava3.disposables.CompositeDisposable;
+import io.reactivex.rxjava3.disposables.SerialDisposable;
 import io.vertx.core.buffer.Buffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -32,8 +33,10 @@
     private static final String LEASE_KEY = "lease/usage";
     private static final Duration POLL_INTERVAL = Duration.ofMillis(1500);
     private static final Duration HEARTBEAT_INTERVAL = Duration.ofSeconds(12);
+    /** Heartbeats of a larger fleet are half as frequent, because each is a call to the store. */
+    private static final int LARGE_FLEET_INSTANCES = 17;
     /** An instance that has sent no heartbeat for two and a half intervals is considered gone. */
-    private static final Duration HEARTBEAT_TIMEOUT = Duration.ofSeconds(30);
+    private static final double HEARTBEAT_TIMEOUT_INTERVALS = 2.5;
 
     private static final Duration RENEWAL_INTERVAL = Duration.ofSeconds(1);
     /** Interval at which an instance checks whether it renews the lease or takes it over. */
@@ -58,6 +61,7 @@
     private final Map<String, Member> members = new HashMap<>();
     private final Map<String, Consumer<FleetRow>> rowHandlers = new HashMap<>();
     private final CompositeDisposable subscriptions = new CompositeDisposable();
+    private final SerialDisposable nextHeartbeat = new SerialDisposable();
     private LeaseRow observedLease = new LeaseRow("", 0, 0);
     private long leaseObservedAt;
     private Optional<HeldLease> heldLease = Optional.empty();
@@ -97,13 +101,15 @@
     void start() {
         watcher.start();
         writeHeartbeat();
-        subscriptions.add(timers.repeat(HEARTBEAT_INTERVAL, "heartbeat", this::writeHeartbeat));
+        // Instances that start together must not write together ever after: each row is relayed to a whole zone.
+        continueHeartbeats(Duration.ofMillis(random.nextLong(HEARTBEAT_INTERVAL.toMillis())));
         subscriptions.add(timers.repeat(LEASE_CHECK_INTERVAL, "lease", this::maintainLease));
     }
 
     /** Stops and removes this instance's heartbeat row. */
     void stop() {
         subscriptions.dispose();
+        nextHeartbeat.dispose();
         watcher.stop();
         var unused = store.commit(RowTransaction.empty()
                         .withRemoval(
@@ -189,6 +195,17 @@
 
     // Members
 
+    private Duration heartbeatInterval() {
+        return members.size() < LARGE_FLEET_INSTANCES ? HEARTBEAT_INTERVAL : HEARTBEAT_INTERVAL.multipliedBy(2);
+    }
+
+    private void continueHeartbeats(Duration delay) {
+        nextHeartbeat.set(timers.after(delay).subscribe(() -> {
+            writeHeartbeat();
+            continueHeartbeats(heartbeatInterval());
+        }));
+    }
+
     private void writeHeartbeat() {
         String value = Codec.json()
                 .mapper()
@@ -210,7 +227,8 @@
     private void removeExpiredMembers() {
         long now = timers.monotonicNanoseconds();
         if (watcher.timeSinceLastResponse().compareTo(POLL_INTERVAL.multipliedBy(3)) < 0) {
-            members.values().removeIf(member -> now - member.lastHeartbeatAt() > HEARTBEAT_TIMEOUT.toNanos());
+            double timeout = HEARTBEAT_TIMEOUT_INTERVALS * heartbeatInterval().toNanos();
+            members.values().removeIf(member -> now - member.lastHeartbeatAt() > timeout);
         }
     }
 
