--- /dev/null
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/FleetSize.java
@@ -0,0 +1,249 @@
+package io.fireflywalk.core.ingress;
+
+import io.fireflywalk.core.ingress.FleetDemand.Demand;
+import java.util.Optional;
+
+/**
+ * Decides how many targets a service needs, and the fraction of them in the prefill stage, while one instance holds the
+ * lease. The number rises at once and falls slowly, because a target that is taken away loses its KV cache. Not
+ * thread-safe.
+ */
+public final class FleetSize {
+    /** Planned targets per baseline target until the load has been measured: a wave's peak, less the cost of a surge. */
+    private static final double UNMEASURED_FACTOR = 1.5;
+    /** Planned targets per baseline target of the constant plan, if preemptible targets are offered and if not. */
+    private static final double CONSTANT_PREEMPTIBLE_FACTOR = 3;
+
+    private static final double CONSTANT_REGULAR_FACTOR = 2;
+    /** Seconds under load that must have been measured before the number may fall. */
+    private static final int MEASURED_SECONDS = 12;
+    /** Time without enough totals after which the plan returns to the constant one. */
+    private static final long MISSING_NANOSECONDS = 3_000_000_000L;
+    /** Time that a new lease holder waits for the first totals. */
+    private static final long FIRST_TOTALS_NANOSECONDS = 10_000_000_000L;
+
+    private static final long STEP_DOWN_INTERVAL_NANOSECONDS = 3_000_000_000L;
+    private static final double STEP_DOWN_FRACTION = 0.1;
+    /** Smaller differences are not worth an order. */
+    private static final double MINIMUM_STEP_DOWN_FRACTION = 0.05;
+
+    private static final double MINIMUM_UTILISATION = 0.35;
+    private static final double MAXIMUM_UTILISATION = 0.7;
+    /** Fraction of the requests that may wait longer than their objective allows. */
+    private static final double LATE_FRACTION = 0.05;
+    /** Fraction of the slots, and of the objective, that requests at a runner may take up before more are planned. */
+    private static final double MAXIMUM_LOAD_FRACTION = 0.5;
+
+    private static final double MINIMUM_PREFILL_FRACTION = 0.3;
+    private static final double MAXIMUM_PREFILL_FRACTION = 0.7;
+    private static final double INITIAL_PREFILL_FRACTION = 0.5;
+    /** Smaller differences are not worth the seconds that a runner needs to change its stage. */
+    private static final double MINIMUM_FRACTION_CHANGE = 0.08;
+
+    private static final long FRACTION_INTERVAL_NANOSECONDS = 9_000_000_000L;
+
+    private final int baselineTargets;
+    private final long startedAt;
+    private final int unmeasuredTargets;
+    private final int initialTargets;
+    private final Level targetLevel;
+    private final Level requiredLevel;
+    private int measuredSeconds;
+    private long lastMeasuredAt;
+    private double prefillFraction;
+    private long fractionChangedAt;
+
+    /**
+     * Facts about the service.
+     *
+     * @param preemptible true if preemptible targets are offered
+     * @param zones number of availability zones
+     * @param slots concurrent requests of a target
+     * @param staged true if runners serve different stages; otherwise each prefills at the speed of a decode runner
+     * @param prefillTargets present targets in the prefill stage
+     * @param decodeTargets all other present targets
+     */
+    public record Facts(
+            boolean preemptible, int zones, int slots, boolean staged, int prefillTargets, int decodeTargets) {}
+
+    /** Number that rises at once and falls slowly. */
+    private static final class Level {
+        private int value;
+        private long changedAt;
+
+        private Level(int value, long now) {
+            this.value = value;
+            this.changedAt = now;
+        }
+
+        private void follow(int wanted, boolean mayFall, long now) {
+            boolean worthOrder = value - wanted > Math.max(1, MINIMUM_STEP_DOWN_FRACTION * value);
+            if (wanted > value) {
+                value = wanted;
+                changedAt = now;
+            } else if (mayFall && worthOrder && now - changedAt >= STEP_DOWN_INTERVAL_NANOSECONDS) {
+                value = Math.max(wanted, value - Math.max(1, (int) (STEP_DOWN_FRACTION * value)));
+                changedAt = now;
+            }
+        }
+    }
+
+    /** Phases of the decision. */
+    public enum Basis {
+        /** The load has not been measured for long enough. */
+        UNMEASURED,
+        /** The plan follows the measured load. */
+        MEASURED,
+        /** Totals of too many instances are missing. */
+        TOTALS_MISSING
+    }
+
+    /**
+     * Planned size with the figures that decided it.
+     *
+     * @param targets planned targets, which include the loss of a zone's preemptible ones
+     * @param required targets that the load needs, at least the baseline; regular ones are ordered for these only
+     * @param prefillNeeded prefill runners that the load needs
+     * @param decodeNeeded other runners that the load needs
+     * @param demand measured demand; empty if none was measured
+     */
+    public record Decision(
+            Basis basis,
+            int targets,
+            int required,
+            double prefillFraction,
+            double prefillNeeded,
+            double decodeNeeded,
+            Optional<Demand> demand) {
+
+        /** Returns the number of targets in service below which no regular one is taken away. */
+        public int minimumServing() {
+            return basis == Basis.MEASURED ? required : targets;
+        }
+    }
+
+    /**
+     * Starts a decision.
+     *
+     * @param baselineTargets number of targets in the operator's fleet size
+     * @param facts facts whose present targets are not reduced before the load is measured
+     */
+    public FleetSize(int baselineTargets, Facts facts, long now) {
+        this.baselineTargets = baselineTargets;
+        this.startedAt = now;
+        this.unmeasuredTargets = (int) Math.ceil(UNMEASURED_FACTOR * baselineTargets);
+        int present = facts.prefillTargets() + facts.decodeTargets();
+        this.initialTargets = Math.min(constantTargets(facts.preemptible()), Math.max(unmeasuredTargets, present));
+        this.targetLevel = new Level(initialTargets, now);
+        this.requiredLevel = new Level(unmeasuredTargets, now);
+        double presentFraction = (double) facts.prefillTargets() / Math.max(1, present);
+        boolean usual = presentFraction >= MINIMUM_PREFILL_FRACTION && presentFraction <= MAXIMUM_PREFILL_FRACTION;
+        this.prefillFraction = usual ? presentFraction : INITIAL_PREFILL_FRACTION;
+        this.lastMeasuredAt = now;
+        this.fractionChangedAt = now;
+    }
+
+    /**
+     * Decides for the next second.
+     *
+     * @param sample work of the last second; empty if totals are missing
+     * @param demand demand according to the window
+     */
+    public Decision decide(Optional<ArrivedWork> sample, Demand demand, Facts facts, long now) {
+        sample.ifPresent(work -> {
+            lastMeasuredAt = now;
+            // Seconds before the first requests say nothing about the load.
+            measuredSeconds += work.prefill().requests() + work.decode().requests() > 0 ? 1 : 0;
+        });
+        Basis basis = basis(now);
+        double prefillNeeded = Math.max(
+                runners(demand.prefill()),
+                runnersForLoad(demand.prefill(), demand.prefillLoad(), facts.prefillTargets(), facts));
+        double decodeNeeded = Math.max(
+                runners(demand.decode()),
+                runnersForLoad(demand.decode(), demand.decodeLoad(), facts.decodeTargets(), facts));
+        double slowPrefill = facts.staged() ? 1 : RunnerLatencyModel.defaults().decodePrefillFactor();
+        int required = Math.max(baselineTargets, (int) Math.ceil(slowPrefill * prefillNeeded + decodeNeeded));
+        int wanted = withZoneLoss(slowPrefill * prefillNeeded + decodeNeeded, facts);
+        if (basis == Basis.UNMEASURED) {
+            required = Math.max(required, unmeasuredTargets);
+            wanted = Math.max(wanted, initialTargets);
+        } else if (basis == Basis.TOTALS_MISSING) {
+            required = Math.max(required, (int) Math.ceil(CONSTANT_REGULAR_FACTOR * baselineTargets));
+            wanted = Math.max(wanted, constantTargets(facts.preemptible()));
+        }
+        targetLevel.follow(Math.max(wanted, baselineTargets), basis == Basis.MEASURED, now);
+        requiredLevel.follow(required, basis == Basis.MEASURED, now);
+        if (basis == Basis.MEASURED) {
+            followFraction(slowPrefill * prefillNeeded, decodeNeeded, now);
+        }
+        return new Decision(
+                basis,
+                targetLevel.value,
+                Math.min(requiredLevel.value, targetLevel.value),
+                prefillFraction,
+                prefillNeeded,
+                decodeNeeded,
+                measuredSeconds > 0 ? Optional.of(demand) : Optional.empty());
+    }
+
+    private int constantTargets(boolean preemptible) {
+        return (int) Math.ceil(baselineTargets * (preemptible ? CONSTANT_PREEMPTIBLE_FACTOR : CONSTANT_REGULAR_FACTOR));
+    }
+
+    private Basis basis(long now) {
+        boolean waitsForTotals = measuredSeconds == 0 && now - startedAt < FIRST_TOTALS_NANOSECONDS;
+        if (now - lastMeasuredAt > MISSING_NANOSECONDS && !waitsForTotals) {
+            return Basis.TOTALS_MISSING;
+        }
+        return measuredSeconds < MEASURED_SECONDS ? Basis.UNMEASURED : Basis.MEASURED;
+    }
+
+    /**
+     * Returns the runners that process the work at a utilisation at which few requests wait longer than their objective
+     * allows. The waiting time of a queue with random arrivals exceeds t with a probability of about exp(-t (1 - u) / s)
+     * at utilisation u and a service time of s.
+     */
+    private static double runners(ArrivedWork.Kind work) {
+        if (work.requests() <= 0) {
+            return work.milliseconds() / 1000 / MAXIMUM_UTILISATION;
+        }
+        double service = work.milliseconds() / work.requests();
+        double slack = Math.max(1, work.objectiveMilliseconds() / work.requests() - service);
+        double utilisation = 1 + Math.log(LATE_FRACTION) * service / slack;
+        return work.milliseconds() / 1000 / Math.max(MINIMUM_UTILISATION, Math.min(MAXIMUM_UTILISATION, utilisation));
+    }
+
+    /**
+     * Returns the runners at which the requests in progress take up half of the slots or half of the objective, whichever
+     * is less. Exceeds the other figure if runners are slower than the latency model. Limited to the constant plan,
+     * because requests also accumulate when more runners do not help.
+     */
+    private double runnersForLoad(ArrivedWork.Kind work, double meanLoad, int targets, Facts facts) {
+        if (work.requests() <= 0 || work.milliseconds() <= 0) {
+            return 0;
+        }
+        double requestsPerObjective = work.objectiveMilliseconds() / work.milliseconds();
+        double allowed = Math.max(1, MAXIMUM_LOAD_FRACTION * Math.min(facts.slots(), requestsPerObjective));
+        double limit = constantTargets(facts.preemptible()) / 2.0;
+        return Math.min(limit, meanLoad * targets / allowed);
+    }
+
+    /** Adds the preemptible targets of one of the zones, over which the targets are distributed evenly. */
+    private static int withZoneLoss(double needed, Facts facts) {
+        boolean coverable = facts.preemptible() && facts.zones() > 1;
+        return (int) Math.ceil(coverable ? needed * facts.zones() / (facts.zones() - 1) : needed);
+    }
+
+    private void followFraction(double prefillNeeded, double decodeNeeded, long now) {
+        double total = prefillNeeded + decodeNeeded;
+        if (total <= 0 || now - fractionChangedAt < FRACTION_INTERVAL_NANOSECONDS) {
+            return;
+        }
+        double wanted = Math.max(MINIMUM_PREFILL_FRACTION, Math.min(MAXIMUM_PREFILL_FRACTION, prefillNeeded / total));
+        if (Math.abs(wanted - prefillFraction) >= MINIMUM_FRACTION_CHANGE) {
+            prefillFraction = wanted;
+            fractionChangedAt = now;
+        }
+    }
+}
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/FleetCoordinator.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/FleetCoordinator.java
@@ -134,6 +134,13 @@
                 .toList();
     }
 
+    /** Returns the other instance that holds the lease according to the store; empty if none does. */
+    Optional<Peer> leaseHolder() {
+        return Optional.ofNullable(members.get(observedLease.holder()))
+                .map(Member::peer)
+                .filter(peer -> !peer.name().equals(settings.instance().name()));
+    }
+
     /** Returns the watcher of the members and the lease. */
     TableWatcher watcher() {
         return watcher;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/FleetScaler.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/FleetScaler.java
@@ -1,10 +1,13 @@
 package io.fireflywalk.daemon.ingress;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.fireflywalk.core.ingress.FleetDistribution;
 import io.fireflywalk.core.ingress.FleetPlanner;
 import io.fireflywalk.core.ingress.FleetPlanner.ZoneCount;
 import io.fireflywalk.core.ingress.FleetPlanner.ZonePlan;
+import io.fireflywalk.core.ingress.FleetSize.Decision;
 import io.fireflywalk.core.ingress.ServiceProfile;
+import io.fireflywalk.core.ingress.StageBalance;
 import io.fireflywalk.core.ingress.TargetEntry.Stage;
 import io.fireflywalk.core.ingress.TargetState;
 import io.fireflywalk.daemon.ingress.ControlPlane.LeaseHolder;
@@ -17,7 +20,9 @@
 import io.vertx.core.buffer.Buffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -51,11 +56,12 @@
     private final FleetCoordinator coordinator;
     private final ConfigurationHolder configuration;
     private final TargetDirectory directory;
+    private final DemandPlanner demandPlanner;
     private final TimerService timers;
     private final long startedAt;
     private final Map<String, Integer> initialSizes = new HashMap<>();
     private final Map<TargetGroup, ScalingCall> latestCalls = new HashMap<>();
-    private final Map<String, Long> stageCommandTimes = new HashMap<>();
+    private final Map<String, StageCommand> stageCommands = new HashMap<>();
     private final CompositeDisposable subscriptions = new CompositeDisposable();
 
     /** Targets whose number is set by one call. */
@@ -64,6 +70,9 @@
     /** Latest call for a target group. */
     private record ScalingCall(int count, long sentAt, boolean pending, boolean rejected) {}
 
+    /** Latest stage command for a runner. */
+    private record StageCommand(Stage stage, long sentAt) {}
+
     FleetScaler(
             IngressSettings settings,
             FleetStore store,
@@ -72,6 +81,7 @@
             FleetCoordinator coordinator,
             ConfigurationHolder configuration,
             TargetDirectory directory,
+            DemandPlanner demandPlanner,
             TimerService timers) {
         this.settings = settings;
         this.store = store;
@@ -80,6 +90,7 @@
         this.coordinator = coordinator;
         this.configuration = configuration;
         this.directory = directory;
+        this.demandPlanner = demandPlanner;
         this.timers = timers;
         this.startedAt = timers.monotonicNanoseconds();
     }
@@ -92,7 +103,15 @@
         subscriptions.dispose();
     }
 
+    /** Returns the number of planned targets of the services whose size follows their demand. */
+    int plannedTargets() {
+        return demandPlanner.plannedTargets();
+    }
+
     private void evaluate() {
+        if (coordinator.fencingToken().isEmpty()) {
+            demandPlanner.clear();
+        }
         if (settings.reports().isEmpty()
                 || coordinator.fencingToken().isEmpty()
                 || configuration.current().isEmpty()
@@ -117,12 +136,62 @@
                                     service.name(), cause.getMessage())));
             return;
         }
-        Map<String, ZoneCount> actual = FleetPlanner.countByZone(directory.forService(service.name()));
-        for (ZonePlan plan : FleetPlanner.plan(
-                service.scaling().get(),
-                baselineTargets,
-                countWithPending(service.name(), actual),
-                zonesWithoutPreemptible(service.name()))) {
+        Collection<TargetState> targets = directory.forService(service.name());
+        Map<String, ZoneCount> actual = FleetPlanner.countByZone(targets);
+        Optional<Long> token = coordinator.fencingToken();
+        if (token.isEmpty()) {
+            return;
+        }
+        if (demandPlanner.followsDemand(service)) {
+            followDemand(service, baselineTargets, actual, targets, token.get());
+        } else {
+            order(
+                    service,
+                    actual,
+                    FleetPlanner.plan(
+                            service.scaling().get(),
+                            baselineTargets,
+                            countWithPending(service.name(), actual),
+                            zonesWithoutPreemptible(service.name())));
+            FleetPlanner.runnersToSwitchToPrefill(targets, timers.monotonicNanoseconds())
+                    .forEach(target -> changeStage(target, Stage.PREFILL));
+        }
+    }
+
+    private void followDemand(
+            ServiceProfile service,
+            int baselineTargets,
+            Map<String, ZoneCount> actual,
+            Collection<TargetState> targets,
+            long token) {
+        int serving = actual.values().stream()
+                .mapToInt(count -> count.regular() + count.preemptible())
+                .sum();
+        Decision decision = demandPlanner.decide(service, baselineTargets, serving, targets, token);
+        order(
+                service,
+                actual,
+                FleetDistribution.plan(
+                        service.scaling().get(),
+                        decision.targets(),
+                        decision.required(),
+                        decision.minimumServing(),
+                        countWithPending(service.name(), actual),
+                        serving,
+                        zonesWithoutPreemptible(service.name())));
+        long now = timers.monotonicNanoseconds();
+        Map<String, Stage> ordered = new HashMap<>();
+        stageCommands.forEach((identifier, command) -> {
+            if (now - command.sentAt() < STAGE_REPEAT_DELAY.toNanos()) {
+                ordered.put(identifier, command.stage());
+            }
+        });
+        StageBalance.changes(targets, decision.prefillFraction(), ordered, now)
+                .forEach(change -> changeStage(change.target(), change.stage()));
+    }
+
+    private void order(ServiceProfile service, Map<String, ZoneCount> actual, List<ZonePlan> plans) {
+        for (ZonePlan plan : plans) {
             ZoneCount current = actual.getOrDefault(plan.availabilityZone(), new ZoneCount(0, 0));
             scaleGroup(
                     new TargetGroup(service.name(), plan.availabilityZone(), false), plan.regular(), current.regular());
@@ -131,8 +200,6 @@
                     plan.preemptible(),
                     current.preemptible());
         }
-        FleetPlanner.runnersToSwitchToPrefill(directory.forService(service.name()), timers.monotonicNanoseconds())
-                .forEach(this::moveToPrefill);
     }
 
     /** Adds the regular targets that were requested and have not yet registered. */
@@ -225,25 +292,25 @@
 
     // Stages
 
-    /** Moves a runner to the prefill stage. The command is idempotent, so a late or repeated one is harmless. */
-    private void moveToPrefill(TargetState target) {
+    /** Moves a runner to a stage. The command is idempotent, so a late or repeated one is harmless. */
+    private void changeStage(TargetState target, Stage stage) {
         long now = timers.monotonicNanoseconds();
         String identifier = target.entry().identifier();
-        Long sentAt = stageCommandTimes.get(identifier);
+        StageCommand latest = stageCommands.get(identifier);
         Optional<Long> token = coordinator.fencingToken();
-        if (token.isEmpty() || (sentAt != null && now - sentAt < STAGE_REPEAT_DELAY.toNanos())) {
+        if (token.isEmpty() || (latest != null && now - latest.sentAt() < STAGE_REPEAT_DELAY.toNanos())) {
             return;
         }
-        if (stageCommandTimes.size() > MAXIMUM_STAGE_COMMANDS) {
-            stageCommandTimes.clear();
+        if (stageCommands.size() > MAXIMUM_STAGE_COMMANDS) {
+            stageCommands.clear();
         }
-        stageCommandTimes.put(identifier, now);
+        stageCommands.put(identifier, new StageCommand(stage, now));
         subscriptions.add(targetCommands
-                .changeStage(coordinator.holder(token.get()), target.entry(), Stage.PREFILL)
+                .changeStage(coordinator.holder(token.get()), target.entry(), stage)
                 .subscribe(
                         accepted -> LOG.infof(
                                 "event=stage_ordered target=%s zone=%s stage=%s token=%d accepted=%s",
-                                identifier, target.entry().availabilityZone(), Stage.PREFILL, token.get(), accepted),
+                                identifier, target.entry().availabilityZone(), stage, token.get(), accepted),
                         cause -> LOG.warnf(
                                 "event=stage_order_failed target=%s cause=\"%s\"", identifier, cause.getMessage())));
     }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressContext.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressContext.java
@@ -1,7 +1,10 @@
 package io.fireflywalk.daemon.ingress;
 
 import io.fireflywalk.core.ingress.BodyMemory;
+import io.fireflywalk.core.ingress.HostRoute;
 import io.fireflywalk.core.ingress.PromptPlacement;
+import io.fireflywalk.core.ingress.PromptSummary;
+import io.fireflywalk.core.ingress.RequestDescription;
 import io.fireflywalk.core.ingress.TargetPicker;
 import io.fireflywalk.services.time.TimerService;
 import io.vertx.core.http.HttpClient;
@@ -22,6 +25,7 @@
         TargetPicker targetPicker,
         PromptPlacement promptPlacement,
         PlacementBroadcaster placementBroadcaster,
+        ArrivedWorkExchange arrivedWork,
         TargetCrashDetector crashDetector,
         PromptQuarantine promptQuarantine,
         RetryBudgets retryBudgets,
@@ -35,4 +39,10 @@
     String availabilityZone() {
         return settings.instance().availabilityZone();
     }
+
+    /** Records a caller's request for the service. */
+    void recordRequest(String service, HostRoute route, RequestDescription description, PromptSummary prompt) {
+        retryBudgets.recordRequest(service);
+        arrivedWork.countRequest(service, route, description, prompt);
+    }
 }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import io.fireflywalk.core.ingress.ArrivedWorkCounter;
 import io.fireflywalk.core.ingress.BodyMemory;
 import io.fireflywalk.core.ingress.PromptPlacement;
 import io.fireflywalk.core.ingress.RunnerLatencyModel;
@@ -74,6 +75,7 @@
     private final FleetCoordinator coordinator;
     private final PeerConfigurationSync peerConfiguration;
     private final IngressUsageReporter usageReporter;
+    private final ArrivedWorkExchange arrivedWork;
     private final FleetScaler fleetScaler;
     private final PeerDatagrams datagrams;
     private final StoreRelay storeRelay;
@@ -126,26 +128,20 @@
                 Duration.ofSeconds(settings.bounds().usageWindowSeconds()).toMillis());
         this.usageReporter =
                 new IngressUsageReporter(settings, store, platform.controlPlane(), usageCounter, coordinator, timers);
-        this.fleetScaler = new FleetScaler(
-                settings,
-                store,
-                platform.controlPlane(),
-                platform.targetCommands(),
-                coordinator,
-                configuration,
-                directory,
-                timers);
         PromptPlacement promptPlacement = new PromptPlacement(RunnerLatencyModel.defaults(), random);
         this.datagrams = new PeerDatagrams(vertx);
         FleetBroadcaster broadcaster = new FleetBroadcaster(datagrams, settings, coordinator, random);
         PlacementBroadcaster placementBroadcaster = new PlacementBroadcaster(broadcaster, timers, directory);
+        IngressMetrics metrics = new IngressMetrics(registry);
+        this.arrivedWork = createArrivedWork(platform, promptPlacement, metrics);
+        placementBroadcaster.onPlacement(arrivedWork::countPlacement);
+        this.fleetScaler = createFleetScaler(platform, metrics);
         this.storeRelay = new StoreRelay(
                 settings,
                 datagrams,
                 coordinator,
                 timers,
                 List.of(configurationWatcher, targetWatcher, coordinator.watcher()));
-        IngressMetrics metrics = new IngressMetrics(registry);
         this.promptQuarantine =
                 new PromptQuarantine(settings, broadcaster, directory, coordinator, store, timers, random, metrics);
         TargetCrashDetector crashDetector = new TargetCrashDetector(
@@ -166,6 +162,7 @@
                 new TargetPicker(random),
                 promptPlacement,
                 placementBroadcaster,
+                arrivedWork,
                 crashDetector,
                 promptQuarantine,
                 new RetryBudgets(settings.bounds(), timers, coordinator::instanceCount),
@@ -178,6 +175,35 @@
         registerGauges(bodyMemory);
     }
 
+    private ArrivedWorkExchange createArrivedWork(
+            IngressPlatform platform, PromptPlacement promptPlacement, IngressMetrics metrics) {
+        boolean demandBased = platform.features().contains(DeploymentFeature.CONTENTION);
+        return new ArrivedWorkExchange(
+                settings,
+                datagrams,
+                coordinator,
+                configuration,
+                directory,
+                promptPlacement,
+                new ArrivedWorkCounter(RunnerLatencyModel.defaults()),
+                service -> demandBased,
+                timers,
+                metrics);
+    }
+
+    private FleetScaler createFleetScaler(IngressPlatform platform, IngressMetrics metrics) {
+        return new FleetScaler(
+                settings,
+                platform.store(),
+                platform.controlPlane(),
+                platform.targetCommands(),
+                coordinator,
+                configuration,
+                directory,
+                new DemandPlanner(arrivedWork, metrics, timers),
+                timers);
+    }
+
     private void registerGauges(BodyMemory bodyMemory) {
         registry.register("body_bytes_held", (Gauge<Long>) bodyMemory::heldBytes);
         registry.register("body_bytes_maximum", (Gauge<Long>) bodyMemory::maximumBytes);
@@ -186,6 +212,7 @@
         registry.register("targets", (Gauge<Integer>) directory::size);
         registry.register("instances", (Gauge<Integer>) coordinator::instanceCount);
         registry.register("requests_in_flight", (Gauge<Integer>) server::requestsInFlight);
+        registry.register("planned_targets", (Gauge<Integer>) fleetScaler::plannedTargets);
         registry.register("quarantined_parts", (Gauge<Integer>) promptQuarantine::size);
         registry.register(
                 "lease_held", (Gauge<Integer>) () -> coordinator.fencingToken().isPresent() ? 1 : 0);
@@ -235,6 +262,7 @@
         targetWatcher.start();
         coordinator.start();
         usageReporter.start();
+        arrivedWork.start();
         fleetScaler.start();
         peerConfiguration.start();
         storeRelay.start();
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/PlacementBroadcaster.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/PlacementBroadcaster.java
@@ -6,6 +6,7 @@
 import io.fireflywalk.core.ingress.PromptSummary;
 import io.fireflywalk.core.ingress.TargetState;
 import io.fireflywalk.services.time.TimerService;
+import java.util.function.BiConsumer;
 
 /**
  * Notifies other instances of each prompt that this one sends to a runner, so that their estimates of the runner's
@@ -20,6 +21,7 @@
     private final FleetBroadcaster broadcaster;
     private final TimerService timers;
     private final TargetDirectory directory;
+    private BiConsumer<Placement, PromptSummary> listener = (placement, prompt) -> {};
 
     PlacementBroadcaster(FleetBroadcaster broadcaster, TimerService timers, TargetDirectory directory) {
         this.broadcaster = broadcaster;
@@ -28,11 +30,17 @@
         broadcaster.onMessage(MESSAGE_TYPE, this::onNotification);
     }
 
+    /** Sets the listener that is told of each placement of this instance. */
+    void onPlacement(BiConsumer<Placement, PromptSummary> newListener) {
+        listener = newListener;
+    }
+
     /** Records a placement, notifies the other instances, and returns the time at which it was recorded. */
     long recordPlacement(Placement placement, PromptSummary prompt) {
         TargetState target = placement.target();
         long now = timers.monotonicNanoseconds();
         target.recordPrefillQueued(prompt, placement.prefillMilliseconds(), now);
+        listener.accept(placement, prompt);
         ObjectNode notification = PeerMessenger.message(MESSAGE_TYPE)
                 .put("target", target.entry().identifier())
                 .put("milliseconds", (int) placement.prefillMilliseconds())
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestForwarder.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestForwarder.java
@@ -89,7 +89,7 @@
     }
 
     void start() {
-        context.retryBudgets().recordRequest(service);
+        context.recordRequest(service, route, description, summary);
         caller.onDisconnect(this::onCallerDisconnect);
         caller.onStop(this::onInstanceStop);
         deadlineTimer = context.timers().after(remaining()).subscribe(this::onDeadline);
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/FleetScalerTest.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/FleetScalerTest.java
@@ -2,9 +2,13 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import com.codahale.metrics.MetricRegistry;
 import io.fireflywalk.core.error.FireflywalkException;
+import io.fireflywalk.core.ingress.ArrivedWorkCounter;
 import io.fireflywalk.core.ingress.CallerLimits;
+import io.fireflywalk.core.ingress.PromptPlacement;
 import io.fireflywalk.core.ingress.RoutingConfiguration;
+import io.fireflywalk.core.ingress.RunnerLatencyModel;
 import io.fireflywalk.core.ingress.ServiceProfile;
 import io.fireflywalk.core.ingress.ServiceProfile.ScalingProfile;
 import io.fireflywalk.core.ingress.TargetEntry;
@@ -107,11 +111,31 @@
                         coordinator,
                         configuration,
                         directory,
+                        new DemandPlanner(
+                                arrivedWork(settings, coordinator, configuration),
+                                new IngressMetrics(new MetricRegistry()),
+                                timers),
                         timers)
                 .start();
         advanceTime(12_000);
     }
 
+    private ArrivedWorkExchange arrivedWork(
+            IngressSettings settings, FleetCoordinator coordinator, ConfigurationHolder configuration) {
+        RunnerLatencyModel model = RunnerLatencyModel.defaults();
+        return new ArrivedWorkExchange(
+                settings,
+                new PeerDatagrams(null),
+                coordinator,
+                configuration,
+                directory,
+                new PromptPlacement(model, new Random(1)),
+                new ArrivedWorkCounter(model),
+                service -> false,
+                timers,
+                new IngressMetrics(new MetricRegistry()));
+    }
+
     private void registerTargets(String kind, int count) {
         for (int number = 0; number < count; number++) {
             directory.onChanges(List.of(new FleetRow(kind + "/" + number, 1, Optional.of(Buffer.buffer("entry")))));
