--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/FleetSize.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/FleetSize.java
@@ -1,6 +1,9 @@
 package io.fireflywalk.core.ingress;
 
 import io.fireflywalk.core.ingress.FleetDemand.Demand;
+import java.util.ArrayDeque;
+import java.util.Collections;
+import java.util.Deque;
 import java.util.Optional;
 
 /**
@@ -22,6 +25,9 @@
     /** Time that a new lease holder waits for the first totals. */
     private static final long FIRST_TOTALS_NANOSECONDS = 10_000_000_000L;
 
+    /** Seconds whose largest number is kept; the quietest part of a pattern of waves must not take targets away. */
+    private static final int FALL_WINDOW = 12;
+
     private static final long STEP_DOWN_INTERVAL_NANOSECONDS = 3_000_000_000L;
     private static final double STEP_DOWN_FRACTION = 0.1;
     /** Smaller differences are not worth an order. */
@@ -66,8 +72,9 @@
     public record Facts(
             boolean preemptible, int zones, int slots, boolean staged, int prefillTargets, int decodeTargets) {}
 
-    /** Number that rises at once and falls slowly. */
+    /** Number that rises at once, and falls slowly to the largest of the latest values. */
     private static final class Level {
+        private final Deque<Integer> latest = new ArrayDeque<>();
         private int value;
         private long changedAt;
 
@@ -77,12 +84,17 @@
         }
 
         private void follow(int wanted, boolean mayFall, long now) {
-            boolean worthOrder = value - wanted > Math.max(1, MINIMUM_STEP_DOWN_FRACTION * value);
+            latest.addLast(wanted);
+            if (latest.size() > FALL_WINDOW) {
+                latest.removeFirst();
+            }
+            int largest = Collections.max(latest);
+            boolean worthOrder = value - largest > Math.max(1, MINIMUM_STEP_DOWN_FRACTION * value);
             if (wanted > value) {
                 value = wanted;
                 changedAt = now;
             } else if (mayFall && worthOrder && now - changedAt >= STEP_DOWN_INTERVAL_NANOSECONDS) {
-                value = Math.max(wanted, value - Math.max(1, (int) (STEP_DOWN_FRACTION * value)));
+                value = Math.max(largest, value - Math.max(1, (int) (STEP_DOWN_FRACTION * value)));
                 changedAt = now;
             }
         }
@@ -163,8 +175,9 @@
                 runners(demand.decode()),
                 runnersForLoad(demand.decode(), demand.decodeLoad(), facts.decodeTargets(), facts));
         double slowPrefill = facts.staged() ? 1 : RunnerLatencyModel.defaults().decodePrefillFactor();
-        int required = Math.max(baselineTargets, (int) Math.ceil(slowPrefill * prefillNeeded + decodeNeeded));
-        int wanted = withZoneLoss(slowPrefill * prefillNeeded + decodeNeeded, facts);
+        double needed = slowPrefill * prefillNeeded + decodeNeeded;
+        int required = Math.max(baselineTargets, (int) Math.ceil(needed));
+        int wanted = Math.max(baselineTargets, (int) Math.ceil(zoneLossFactor(facts) * needed));
         if (basis == Basis.UNMEASURED) {
             required = Math.max(required, unmeasuredTargets);
             wanted = Math.max(wanted, initialTargets);
@@ -172,7 +185,7 @@
             required = Math.max(required, (int) Math.ceil(CONSTANT_REGULAR_FACTOR * baselineTargets));
             wanted = Math.max(wanted, constantTargets(facts.preemptible()));
         }
-        targetLevel.follow(Math.max(wanted, baselineTargets), basis == Basis.MEASURED, now);
+        targetLevel.follow(wanted, basis == Basis.MEASURED, now);
         requiredLevel.follow(required, basis == Basis.MEASURED, now);
         if (basis == Basis.MEASURED) {
             followFraction(slowPrefill * prefillNeeded, decodeNeeded, now);
@@ -225,14 +238,16 @@
         }
         double requestsPerObjective = work.objectiveMilliseconds() / work.milliseconds();
         double allowed = Math.max(1, MAXIMUM_LOAD_FRACTION * Math.min(facts.slots(), requestsPerObjective));
-        double limit = constantTargets(facts.preemptible()) / 2.0;
+        double limit = constantTargets(facts.preemptible()) / 2.0 / zoneLossFactor(facts);
         return Math.min(limit, meanLoad * targets / allowed);
     }
 
-    /** Adds the preemptible targets of one of the zones, over which the targets are distributed evenly. */
-    private static int withZoneLoss(double needed, Facts facts) {
-        boolean coverable = facts.preemptible() && facts.zones() > 1;
-        return (int) Math.ceil(coverable ? needed * facts.zones() / (facts.zones() - 1) : needed);
+    /**
+     * Returns the planned targets per needed one, so that enough remain without the preemptible targets of one of the
+     * zones, over which the targets are distributed evenly. With a single zone, nothing covers its loss.
+     */
+    private static double zoneLossFactor(Facts facts) {
+        return facts.preemptible() && facts.zones() > 1 ? (double) facts.zones() / (facts.zones() - 1) : 1;
     }
 
     private void followFraction(double prefillNeeded, double decodeNeeded, long now) {
--- a/fireflywalk-core/src/test/java/io/fireflywalk/core/ingress/FleetSizeTest.java
+++ b/fireflywalk-core/src/test/java/io/fireflywalk/core/ingress/FleetSizeTest.java
@@ -143,7 +143,7 @@
         FleetDemand.Demand loaded = new FleetDemand.Demand(measured.prefill(), measured.decode(), 8, 10);
         Decision decision = size.decide(Optional.of(arrivals(1, 1)), loaded, FACTS, second * 1_000_000_000L);
         assertTrue(decision.targets() > before);
-        assertTrue(decision.targets() <= 1.5 * CONSTANT_PLAN);
+        assertTrue(decision.targets() <= CONSTANT_PLAN);
     }
 
     @ParameterizedTest
