--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetState.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetState.java
@@ -32,6 +32,7 @@
     private boolean probeInFlight;
     private boolean leavingAnnounced;
     private long heldOffUntil = Long.MIN_VALUE / 2;
+    private long stageChangesUntil = Long.MIN_VALUE / 2;
 
     /**
      * Creates the state of a target.
@@ -63,6 +64,9 @@
             leavingAnnounced = false;
             heldOffUntil = Long.MIN_VALUE / 2;
         }
+        if (newEntry.stage() != entry.stage() || newEntry.startedAtMilliseconds() != entry.startedAtMilliseconds()) {
+            stageChangesUntil = Long.MIN_VALUE / 2;
+        }
         entry = newEntry;
     }
 
@@ -166,6 +170,11 @@
         heldOffUntil = Math.max(heldOffUntil, now + nanoseconds);
     }
 
+    /** Records an order to change the stage; the target rejects requests until its entry shows the new stage. */
+    public void recordStageChange(long maximumNanoseconds, long now) {
+        stageChangesUntil = now + maximumNanoseconds;
+    }
+
     /** Records the number of running and queued requests that the target reported. */
     public void recordReport(int requests, long now) {
         reportedRequests = requests;
@@ -179,12 +188,13 @@
     // Queries
 
     /**
-     * Tells whether the target may receive a request. A leaving target and one that wants none may not; a failing one
-     * receives one probe at a time after its backoff.
+     * Tells whether the target may receive a request. A leaving target, one that wants none and one that changes its
+     * stage may not; a failing one receives one probe at a time after its backoff.
      */
     public boolean available(long now) {
         return acceptsRequests(now)
                 && now >= backoffUntil
+                && now >= stageChangesUntil
                 && !(consecutiveFailures > 0 && probeInFlight && inFlight > 0);
     }
 
--- a/fireflywalk-core/src/test/java/io/fireflywalk/core/ingress/TargetStateTest.java
+++ b/fireflywalk-core/src/test/java/io/fireflywalk/core/ingress/TargetStateTest.java
@@ -38,6 +38,16 @@
         assertTrue(target.available(1310 * MILLISECOND));
     }
 
+    @ParameterizedTest
+    @CsvSource({"DECODE, 100, false", "DECODE, 3600, true", "PREFILL, 100, true"})
+    void targetThatChangesItsStageGetsNoRequestsUntilItsEntryShowsTheNewOne(
+            Stage stage, long milliseconds, boolean available) {
+        target.recordStageChange(3500 * MILLISECOND, 0);
+        target.recordReport(0, 0);
+        target.update(TargetFixture.entry("runner", "zone", stage, false, false));
+        assertEquals(available, target.available(milliseconds * MILLISECOND));
+    }
+
     @Test
     void leavingTargetIsNotAvailable() {
         target.update(TargetFixture.entry("runner", "zone", Stage.DECODE, true, false));
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
@@ -135,7 +135,8 @@
         IngressMetrics metrics = new IngressMetrics(registry);
         this.arrivedWork = createArrivedWork(platform, promptPlacement, metrics);
         placementBroadcaster.onPlacement(arrivedWork::countPlacement);
-        this.fleetScaler = createFleetScaler(platform, metrics);
+        this.fleetScaler =
+                createFleetScaler(platform, metrics, new StageChangeBroadcaster(broadcaster, timers, directory));
         this.storeRelay = new StoreRelay(
                 settings,
                 datagrams,
@@ -191,12 +192,13 @@
                 metrics);
     }
 
-    private FleetScaler createFleetScaler(IngressPlatform platform, IngressMetrics metrics) {
+    private FleetScaler createFleetScaler(
+            IngressPlatform platform, IngressMetrics metrics, StageChangeBroadcaster stageChanges) {
         return new FleetScaler(
                 settings,
                 platform.store(),
                 platform.controlPlane(),
-                platform.targetCommands(),
+                stageChanges.announcing(platform.targetCommands()),
                 coordinator,
                 configuration,
                 directory,
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/PlacementBroadcasterTest.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/PlacementBroadcasterTest.java
@@ -1,17 +1,20 @@
 package io.fireflywalk.daemon.ingress;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.fireflywalk.core.error.FireflywalkException;
 import io.fireflywalk.core.ingress.PromptPlacement.Placement;
 import io.fireflywalk.core.ingress.PromptSummary;
+import io.fireflywalk.core.ingress.TargetEntry.Stage;
 import io.fireflywalk.core.ingress.TargetState;
 import io.fireflywalk.daemon.ingress.FleetCoordinator.Peer;
 import io.fireflywalk.daemon.ingress.FleetStore.FleetRow;
 import io.fireflywalk.services.codec.Codec;
 import io.fireflywalk.services.time.SchedulerTimerService;
+import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.schedulers.TestScheduler;
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
@@ -22,6 +25,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -45,7 +49,8 @@
         private final TargetDirectory directory;
         private final FleetCoordinator coordinator;
         private final PlacementBroadcaster broadcaster;
-        private Handler handler = message -> {};
+        private final TargetCommands commands;
+        private final Map<String, Handler> handlers = new HashMap<>();
 
         private Instance(String name, String zone) {
             this.zone = zone;
@@ -60,13 +65,15 @@
                     new TargetDirectory(new FixedRowDecoder(), timers, () -> Duration.ofMinutes(1), service -> 300_000);
             directory.onSnapshot(List.of(new FleetRow(TARGET, 1, Optional.of(Buffer.buffer("entry")))));
             coordinator = new FleetCoordinator(settings, store, timers, new Random(name.hashCode()));
-            broadcaster = new PlacementBroadcaster(
-                    new FleetBroadcaster(this, settings, coordinator, new Random(name.hashCode())), timers, directory);
+            FleetBroadcaster fleet = new FleetBroadcaster(this, settings, coordinator, new Random(name.hashCode()));
+            broadcaster = new PlacementBroadcaster(fleet, timers, directory);
+            commands = new StageChangeBroadcaster(fleet, timers, directory)
+                    .announcing((holder, target, stage) -> Single.just(true));
         }
 
         @Override
         public void onMessage(String type, Handler newHandler) {
-            handler = newHandler;
+            handlers.put(type, newHandler);
         }
 
         @Override
@@ -78,7 +85,8 @@
                 try {
                     instances
                             .get(peer.name())
-                            .handler
+                            .handlers
+                            .get(message.path(TYPE_FIELD).asText())
                             .onMessage(Codec.json().read(encoded, ObjectNode.class, "message"));
                 } catch (FireflywalkException exception) {
                     throw new IllegalStateException(exception);
@@ -113,4 +121,23 @@
             }
         }
     }
+
+    @Test
+    void noInstanceSendsRequestsToARunnerThatIsOrderedToChangeItsStage() {
+        for (int index = 0; index < 3; index++) {
+            String name = "instance-" + index;
+            instances.put(name, new Instance(name, "zone-1"));
+        }
+        instances.values().forEach(instance -> instance.coordinator.start());
+        scheduler.advanceTimeBy(5, TimeUnit.SECONDS);
+        Instance holder = instances.get("instance-0");
+        holder.commands
+                .changeStage(holder.coordinator.holder(1), holder.target().entry(), Stage.PREFILL)
+                .test()
+                .assertValue(true);
+        long now = scheduler.now(TimeUnit.NANOSECONDS);
+        for (Instance instance : instances.values()) {
+            assertFalse(instance.target().available(now));
+        }
+    }
 }
