--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/error/ErrorKind.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/error/ErrorKind.java
@@ -41,6 +41,7 @@
     CONFIGURATION_INVALID(422, false, RunState.NOT_RUN, LogLevel.INFO, "Correct the fields at the listed paths."),
     SHARE_EXHAUSTED(429, true, RunState.NOT_RUN, LogLevel.INFO, "The client account has exceeded its share."),
     QUEUE_FULL(429, true, RunState.NOT_RUN, LogLevel.INFO, "The request queue of the service is full."),
+    QUOTA_EXCEEDED(429, true, RunState.NOT_RUN, LogLevel.INFO, "The client account has used up its quota."),
     HEADERS_TOO_LARGE(431, false, RunState.NOT_RUN, LogLevel.DEBUG, "The caller's headers exceed the limit."),
     INTERNAL(500, false, RunState.UNKNOWN, LogLevel.ERROR, "Report the log line with its stack trace."),
     TARGET_FAILED(502, true, RunState.UNKNOWN, LogLevel.WARN, "Check the target that the log line names."),
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/RoutingConfiguration.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/RoutingConfiguration.java
@@ -1,10 +1,13 @@
 package io.fireflywalk.core.ingress;
 
+import io.fireflywalk.core.quota.AccountQuota;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 
@@ -16,6 +19,34 @@
     private final Map<String, String> accountByKey;
     private final boolean requiresApiKeys;
     private final CallerLimits limits;
+    private final Quotas quotas;
+
+    /**
+     * Quotas of client accounts.
+     *
+     * @param byAccount valid quotas by account; accounts without one are not limited
+     * @param invalid accounts whose quota is invalid, so that the last valid one stays in force
+     */
+    public record Quotas(Map<String, AccountQuota> byAccount, Set<String> invalid) {
+        /** No account has a quota. */
+        public static final Quotas NONE = new Quotas(Map.of(), Set.of());
+
+        public Quotas {
+            byAccount = Map.copyOf(byAccount);
+            invalid = Set.copyOf(invalid);
+        }
+    }
+
+    /** Creates a version without quotas. */
+    public RoutingConfiguration(
+            long version,
+            List<HostRoute> routes,
+            List<ServiceProfile> services,
+            Map<String, String> accountByKey,
+            boolean requiresApiKeys,
+            CallerLimits limits) {
+        this(version, routes, services, accountByKey, requiresApiKeys, limits, Quotas.NONE);
+    }
 
     /**
      * Creates a version.
@@ -29,7 +60,8 @@
             List<ServiceProfile> services,
             Map<String, String> accountByKey,
             boolean requiresApiKeys,
-            CallerLimits limits) {
+            CallerLimits limits,
+            Quotas quotas) {
         this.version = version;
         Comparator<HostRoute> longestFirst = Comparator.comparingInt(
                         (HostRoute route) -> route.pathPrefix().length())
@@ -42,6 +74,29 @@
         this.accountByKey = Map.copyOf(accountByKey);
         this.requiresApiKeys = requiresApiKeys;
         this.limits = limits;
+        this.quotas = quotas;
+    }
+
+    private RoutingConfiguration(RoutingConfiguration other, Quotas quotas) {
+        this.version = other.version;
+        this.routesByHost = other.routesByHost;
+        this.services = other.services;
+        this.accountByKey = other.accountByKey;
+        this.requiresApiKeys = other.requiresApiKeys;
+        this.limits = other.limits;
+        this.quotas = quotas;
+    }
+
+    /** Returns this version with the quotas of an earlier one for accounts whose quota is invalid. */
+    public RoutingConfiguration withValidQuotasOf(RoutingConfiguration earlier) {
+        Map<String, AccountQuota> merged = new HashMap<>(quotas.byAccount());
+        for (String account : quotas.invalid()) {
+            AccountQuota valid = earlier.quotas.byAccount().get(account);
+            if (valid != null) {
+                merged.put(account, valid);
+            }
+        }
+        return new RoutingConfiguration(this, new Quotas(merged, quotas.invalid()));
     }
 
     /** Returns the version. Versions only increase. */
@@ -80,6 +135,11 @@
         return limits;
     }
 
+    /** Returns the quotas of client accounts. */
+    public Quotas quotas() {
+        return quotas;
+    }
+
     public int routeCount() {
         return routesByHost.values().stream().mapToInt(List::size).sum();
     }
--- /dev/null
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/quota/PoolLease.java
@@ -0,0 +1,170 @@
+package io.fireflywalk.core.quota;
+
+import java.time.Duration;
+import java.util.Optional;
+
+/**
+ * Lease on granting from a pool, kept in a row that is written on condition of its version. A holder grants only within
+ * {@link #TERM} after it sent a write that succeeded; another instance takes over only after it has seen the same row for
+ * longer. Each takeover begins an epoch, and successive epochs begin at least {@link QuotaPool#LIFETIME} apart, so that a
+ * granter has to allow for the grants of one predecessor only. Not thread-safe.
+ */
+public final class PoolLease {
+    /** Longer than usual outages of the store, so that granting goes on meanwhile. */
+    public static final Duration TERM = Duration.ofSeconds(8);
+
+    /** Allows for the drift of clocks. */
+    private static final long HOLDER_MARGIN = Duration.ofMillis(400).toNanos();
+
+    private static final long TAKEOVER_MARGIN = Duration.ofMillis(400).toNanos();
+    private static final long RENEWAL_INTERVAL = Duration.ofSeconds(2).toNanos();
+    /** Bounds the writes that fail while the store does not respond. */
+    private static final long TAKEOVER_INTERVAL = Duration.ofSeconds(1).toNanos();
+    /** The instance that ranks first for a pool takes it first, so that one granter does not get all pools. */
+    private static final long RANK_DELAY = Duration.ofMillis(400).toNanos();
+
+    private static final int MAXIMUM_RANK = 8;
+    private static final String NO_HOLDER = "";
+
+    private final String instance;
+    private final String process;
+    private final long startedAt;
+    private Row observed = new Row(NO_HOLDER, "", 0);
+    private long observedVersion;
+    private boolean removed;
+    private long observedAt;
+    private boolean writing;
+    private long writtenAt = Long.MIN_VALUE / 2;
+    private boolean acquired;
+    private long acquiredEpoch;
+    private long acquiredAt;
+    private long validUntil = Long.MIN_VALUE;
+    private boolean resigned;
+
+    /**
+     * Content of the row.
+     *
+     * @param holder name of the instance; empty if the lease was released
+     * @param process identifier of the process of the instance
+     * @param epoch number of the takeover
+     */
+    public record Row(String holder, String process, long epoch) {}
+
+    /** Write to attempt, on condition of the version of the row; 0 means that there must be none. */
+    public record Write(Row row, long version, long sentAt) {}
+
+    /** Creates a lease that is not held. */
+    public PoolLease(String instance, String process, ClockReading now) {
+        this.instance = instance;
+        this.process = process;
+        this.startedAt = now.slow();
+        this.observedAt = now.slow();
+    }
+
+    /** Records the row as read from the store. */
+    public void onRow(Row row, long version, ClockReading now) {
+        if (version > observedVersion) {
+            observed = row;
+            observedVersion = version;
+            removed = false;
+            observedAt = now.slow();
+        }
+    }
+
+    /** Records that the row was removed; its epoch stays known, so that the next one is not taken for the first. */
+    public void onRemoved(long version, ClockReading now) {
+        if (version > observedVersion) {
+            onRow(new Row(NO_HOLDER, "", observed.epoch()), version, now);
+            removed = true;
+        }
+    }
+
+    /** Tells whether this process may grant now. */
+    public boolean isHeld(ClockReading now) {
+        return acquired && !resigned && isOwn() && now.fast() < validUntil;
+    }
+
+    private boolean isOwn() {
+        return observed.holder().equals(instance) && observed.process().equals(process);
+    }
+
+    /** Returns the latest known content of the row. */
+    public Row observed() {
+        return observed;
+    }
+
+    /** Tells whether the epoch of this process is the first of all. */
+    public boolean isFirstEpoch() {
+        return observed.epoch() == 1;
+    }
+
+    /**
+     * Returns the write that is due, if any; {@link #onWritten} or {@link #onNotWritten} must follow it.
+     *
+     * @param rank rank of this instance among the live ones for this pool, 0 for the first
+     */
+    public Optional<Write> nextWrite(int rank, ClockReading now) {
+        if (writing || resigned) {
+            return Optional.empty();
+        }
+        long interval = isOwn() ? RENEWAL_INTERVAL : TAKEOVER_INTERVAL;
+        if (now.slow() - writtenAt < interval || (!isOwn() && !mayTakeOver(rank, now))) {
+            return Optional.empty();
+        }
+        return Optional.of(write(new Row(instance, process, isOwn() ? observed.epoch() : observed.epoch() + 1), now));
+    }
+
+    private Write write(Row row, ClockReading now) {
+        writing = true;
+        writtenAt = now.slow();
+        return new Write(row, removed ? 0 : observedVersion, now.fast());
+    }
+
+    private boolean mayTakeOver(int rank, ClockReading now) {
+        long delay = Math.min(rank, MAXIMUM_RANK) * RANK_DELAY;
+        long unchanged = now.slow() - observedAt;
+        if (observed.holder().equals(NO_HOLDER)) {
+            return unchanged >= delay;
+        }
+        // Names are unique among running instances, so the process that held the lease has ended.
+        boolean predecessorEnded = observed.holder().equals(instance)
+                && now.slow() - startedAt >= QuotaPool.LIFETIME.toNanos() + TAKEOVER_MARGIN;
+        return predecessorEnded || unchanged >= TERM.toNanos() + TAKEOVER_MARGIN + delay;
+    }
+
+    /** Records that a write has succeeded. */
+    public void onWritten(Write write, long version, ClockReading now) {
+        writing = false;
+        onRow(write.row(), version, now);
+        if (isOwn() && observedVersion == version) {
+            if (!acquired || acquiredEpoch != observed.epoch()) {
+                acquired = true;
+                acquiredEpoch = observed.epoch();
+                acquiredAt = now.slow();
+            }
+            validUntil = write.sentAt() + TERM.toNanos() - HOLDER_MARGIN;
+        }
+    }
+
+    /** Records that a write has failed or that its outcome is unknown, in which case reading the row shows it. */
+    public void onNotWritten() {
+        writing = false;
+    }
+
+    /** Stops granting for good. */
+    public void resign() {
+        resigned = true;
+    }
+
+    /**
+     * Returns the write that releases the lease after {@link #resign}, so that another instance takes over at once. The
+     * lease is left to lapse if its epoch is so young that grants of the one before may still be used.
+     */
+    public Optional<Write> release(ClockReading now) {
+        boolean young = now.slow() - acquiredAt < QuotaPool.LIFETIME.toNanos() + TAKEOVER_MARGIN;
+        if (!acquired || writing || !isOwn() || young) {
+            return Optional.empty();
+        }
+        return Optional.of(write(new Row(NO_HOLDER, "", observed.epoch()), now));
+    }
+}
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/ConfigurationHolder.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/ConfigurationHolder.java
@@ -67,10 +67,21 @@
             LOG.infof(
                     "event=configuration_applied version=%d previous=%d routes=%d source=%s",
                     decoded.version(), version(), decoded.routeCount(), source);
-            current = Optional.of(decoded);
+            logInvalidQuotas(decoded);
+            current = Optional.of(current.map(decoded::withValidQuotasOf).orElse(decoded));
             encoded = value;
         } catch (FireflywalkException exception) {
             LOG.warnf("event=configuration_rejected source=%s cause=\"%s\"", source, exception.getMessage());
         }
     }
+
+    private void logInvalidQuotas(RoutingConfiguration decoded) {
+        for (String account : decoded.quotas().invalid()) {
+            boolean known = current.filter(before -> before.quotas().byAccount().containsKey(account))
+                    .isPresent();
+            LOG.warnf(
+                    "event=quota_invalid account=%s version=%d in_force=%s",
+                    account, decoded.version(), known ? "\"last valid quota\"" : "none");
+        }
+    }
 }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/FleetCoordinator.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/FleetCoordinator.java
@@ -35,6 +35,9 @@
     /** An instance that has sent no heartbeat for two and a half intervals is considered gone. */
     private static final Duration HEARTBEAT_TIMEOUT = Duration.ofSeconds(30);
 
+    /** Longest outage of the store in which the number of instances still counts as known. */
+    private static final Duration COUNTING_INTERVAL = Duration.ofSeconds(15);
+
     private static final Duration RENEWAL_INTERVAL = Duration.ofSeconds(1);
     /** Interval at which an instance checks whether it renews the lease or takes it over. */
     private static final Duration LEASE_CHECK_INTERVAL = Duration.ofMillis(250);
@@ -61,6 +64,8 @@
     private LeaseRow observedLease = new LeaseRow("", 0, 0);
     private long leaseObservedAt;
     private Optional<HeldLease> heldLease = Optional.empty();
+    private Optional<Long> firstHeartbeatAt = Optional.empty();
+    private long lastHeartbeatSentAt;
     private boolean leaseWriteInFlight;
     private boolean resigned;
     private long earliestAcquisitionAt;
@@ -134,6 +139,21 @@
                 .toList();
     }
 
+    /**
+     * Tells whether every instance for which this holds counts this one as live: each has read the members within {@link
+     * #COUNTING_INTERVAL}, and this one has been a member for longer and will not expire earlier.
+     */
+    boolean isCountedByAll() {
+        long now = timers.monotonicNanoseconds();
+        return firstHeartbeatAt
+                        .filter(first -> now - first
+                                > COUNTING_INTERVAL.multipliedBy(4).dividedBy(3).toNanos())
+                        .isPresent()
+                && now - lastHeartbeatSentAt
+                        < HEARTBEAT_TIMEOUT.minus(HEARTBEAT_INTERVAL).toNanos()
+                && watcher.timeSinceLastResponse().compareTo(COUNTING_INTERVAL) < 0;
+    }
+
     /** Returns the watcher of the members and the lease. */
     TableWatcher watcher() {
         return watcher;
@@ -190,6 +210,7 @@
     // Members
 
     private void writeHeartbeat() {
+        long sentAt = timers.monotonicNanoseconds();
         String value = Codec.json()
                 .mapper()
                 .createObjectNode()
@@ -204,7 +225,11 @@
                                 MEMBER_PREFIX + settings.instance().name(),
                                 Buffer.buffer(value)))
                 .subscribe(
-                        done -> {}, cause -> LOG.debugf("event=member_not_written cause=\"%s\"", cause.getMessage())));
+                        done -> {
+                            firstHeartbeatAt = Optional.of(firstHeartbeatAt.orElse(timers.monotonicNanoseconds()));
+                            lastHeartbeatSentAt = sentAt;
+                        },
+                        cause -> LOG.debugf("event=member_not_written cause=\"%s\"", cause.getMessage())));
     }
 
     private void removeExpiredMembers() {
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressContext.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressContext.java
@@ -26,6 +26,7 @@
         PromptQuarantine promptQuarantine,
         RetryBudgets retryBudgets,
         UsageCounter usageCounter,
+        QuotaExchange quotas,
         IngressMetrics metrics,
         EventLoopMonitor eventLoopMonitor,
         BodyMemory bodyMemory,
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
@@ -78,6 +78,7 @@
     private final PeerDatagrams datagrams;
     private final StoreRelay storeRelay;
     private final PromptQuarantine promptQuarantine;
+    private final QuotaExchange quotas;
     private final EventLoopMonitor eventLoopMonitor;
     private final IngressServer server;
     private boolean draining;
@@ -121,9 +122,8 @@
         this.coordinator = new FleetCoordinator(settings, store, timers, random);
         this.peerConfiguration = new PeerConfigurationSync(
                 vertx, settings, timers, random, configuration, configurationWatcher, coordinator);
-        UsageCounter usageCounter = new UsageCounter(
-                timers,
-                Duration.ofSeconds(settings.bounds().usageWindowSeconds()).toMillis());
+        UsageCounter usageCounter =
+                new UsageCounter(timers, 1000L * settings.bounds().usageWindowSeconds());
         this.usageReporter =
                 new IngressUsageReporter(settings, store, platform.controlPlane(), usageCounter, coordinator, timers);
         this.fleetScaler = new FleetScaler(
@@ -135,7 +135,6 @@
                 configuration,
                 directory,
                 timers);
-        PromptPlacement promptPlacement = new PromptPlacement(RunnerLatencyModel.defaults(), random);
         this.datagrams = new PeerDatagrams(vertx);
         FleetBroadcaster broadcaster = new FleetBroadcaster(datagrams, settings, coordinator, random);
         PlacementBroadcaster placementBroadcaster = new PlacementBroadcaster(broadcaster, timers, directory);
@@ -148,6 +147,8 @@
         IngressMetrics metrics = new IngressMetrics(registry);
         this.promptQuarantine =
                 new PromptQuarantine(settings, broadcaster, directory, coordinator, store, timers, random, metrics);
+        this.quotas =
+                new QuotaExchange(settings, configuration, coordinator, store, datagrams, timers, random, metrics);
         TargetCrashDetector crashDetector = new TargetCrashDetector(
                 timers, Connector.of(createCrashCheckClient(vertx)), metrics, promptQuarantine::onCrash);
         this.eventLoopMonitor = new EventLoopMonitor(timers, metrics);
@@ -164,12 +165,13 @@
                 configuration,
                 directory,
                 new TargetPicker(random),
-                promptPlacement,
+                new PromptPlacement(RunnerLatencyModel.defaults(), random),
                 placementBroadcaster,
                 crashDetector,
                 promptQuarantine,
                 new RetryBudgets(settings.bounds(), timers, coordinator::instanceCount),
                 usageCounter,
+                quotas,
                 metrics,
                 eventLoopMonitor,
                 bodyMemory,
@@ -251,6 +253,7 @@
                         () -> peerConfiguration.listen(host, settings.listen().peerPort())))
                 .compose(ignored ->
                         listen(() -> datagrams.listen(host, settings.listen().peerPort())))
+                .onSuccess(ignored -> quotas.start())
                 .compose(ignored -> listen(() -> vertx.createHttpServer()
                         .requestHandler(request -> request.response().end(MetricsRenderer.render(registry)))
                         .listen(settings.listen().metricsPort(), host)))
@@ -298,6 +301,7 @@
         }
         draining = true;
         coordinator.resign();
+        quotas.resign();
         LOG.infof("event=draining instance=%s requests=%d", settings.instance().name(), server.requestsInFlight());
         Duration grace = Duration.ofMillis((long) (1000 * settings.bounds().gracePeriodSeconds()))
                 .minus(EXIT_MARGIN);
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressMetrics.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressMetrics.java
@@ -41,6 +41,11 @@
         registry.counter(name).inc();
     }
 
+    /** Adds an amount to a counter. */
+    void count(String name, long amount) {
+        registry.counter(name).inc(amount);
+    }
+
     /** Records the time to the first byte of a response. */
     void firstByte(long nanoseconds) {
         firstByte.update(nanoseconds, TimeUnit.NANOSECONDS);
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressServer.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressServer.java
@@ -186,6 +186,14 @@
     }
 
     private void reject(CallerExchange caller, HttpServerRequest request, FireflywalkException cause) {
+        reject(caller, request, cause, Optional.empty());
+    }
+
+    private void reject(
+            CallerExchange caller,
+            HttpServerRequest request,
+            FireflywalkException cause,
+            Optional<Duration> retryAfter) {
         long now = context.timers().monotonicNanoseconds();
         context.metrics()
                 .requestEnded(
@@ -201,7 +209,7 @@
                                 request.path(),
                                 cause.detail(),
                                 context.configuration().version()));
-        caller.sendError(cause);
+        caller.sendError(cause, retryAfter);
     }
 
     private void dispatch(CallerExchange caller, HttpServerRequest request) throws FireflywalkException {
@@ -221,12 +229,41 @@
                 .deadline()
                 .filter(stated -> stated.compareTo(route.timeout()) < 0)
                 .orElse(route.timeout());
-        caller.readBody(
-                configuration.limits().bodyBytes(),
+        RequestCharge charge = new RequestCharge(
+                context,
                 account,
-                timeout,
-                () -> new RequestForwarder(context, limits, caller, route, description, account).start(),
-                cause -> reject(caller, request, cause));
+                description,
+                () -> {
+                    // A stop of the instance may have answered the request while it waited for a grant.
+                    if (requestsInFlight.contains(caller)) {
+                        new RequestForwarder(context, limits, caller, route, description, account).start();
+                    }
+                },
+                (cause, retryAfter) -> refuse(caller, request, cause, retryAfter));
+        charge.begin();
+        if (!charge.isRefused()) {
+            caller.readBody(
+                    configuration.limits().bodyBytes(),
+                    account,
+                    timeout,
+                    charge::onBodyRead,
+                    cause -> reject(caller, request, cause));
+        }
+    }
+
+    /** Refuses a request whose body may not have been read. */
+    private void refuse(
+            CallerExchange caller, HttpServerRequest request, FireflywalkException cause, Duration retryAfter) {
+        if (!requestsInFlight.contains(caller)) {
+            return;
+        }
+        caller.releaseBody();
+        if (request.isEnded()) {
+            reject(caller, request, cause, Optional.of(retryAfter));
+        } else {
+            caller.discardBody(() -> reject(caller, request, cause, Optional.of(retryAfter)));
+            request.resume();
+        }
     }
 
     private static FireflywalkException shuttingDown() {
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressSettings.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressSettings.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
+import io.fireflywalk.core.quota.QuotaTerms;
 import io.fireflywalk.services.codec.Codec;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -63,6 +64,9 @@
      * @param usageWindowSeconds length of a usage window
      * @param configurationMilliseconds time in which an accepted configuration must be in force
      * @param leavingTargetMilliseconds time after which a leaving target must not receive new requests
+     * @param quotaWindowSeconds sliding window of quotas; empty on deployments without quotas, which are then not limited
+     * @param quotaOvershoot fraction by which a quota may be exceeded in a window; 0 if empty
+     * @param quotaSlackTokens tokens by which a quota may be exceeded in a window; 0 if empty
      */
     public record Bounds(
             double gracePeriodSeconds,
@@ -72,7 +76,40 @@
             long leaseMilliseconds,
             int usageWindowSeconds,
             long configurationMilliseconds,
-            long leavingTargetMilliseconds) {
+            long leavingTargetMilliseconds,
+            Optional<Double> quotaWindowSeconds,
+            Optional<Double> quotaOvershoot,
+            Optional<Double> quotaSlackTokens) {
+
+        /** Creates bounds of a deployment without quotas. */
+        public Bounds(
+                double gracePeriodSeconds,
+                double retryBudgetRatio,
+                double retryBudgetAmount,
+                double retryBudgetWindowSeconds,
+                long leaseMilliseconds,
+                int usageWindowSeconds,
+                long configurationMilliseconds,
+                long leavingTargetMilliseconds) {
+            this(
+                    gracePeriodSeconds,
+                    retryBudgetRatio,
+                    retryBudgetAmount,
+                    retryBudgetWindowSeconds,
+                    leaseMilliseconds,
+                    usageWindowSeconds,
+                    configurationMilliseconds,
+                    leavingTargetMilliseconds,
+                    Optional.empty(),
+                    Optional.empty(),
+                    Optional.empty());
+        }
+
+        /** Returns what may be used beyond quotas; empty on deployments without quotas. */
+        public Optional<QuotaTerms> quotaTerms() {
+            return quotaWindowSeconds.map(
+                    window -> new QuotaTerms(window, quotaOvershoot.orElse(0.0), quotaSlackTokens.orElse(0.0)));
+        }
 
         /** Returns the shortest time in which a change in the store must take effect. */
         public Duration changeDeadline() {
@@ -132,6 +169,13 @@
                 bounds.leavingTargetMilliseconds() > 0,
                 "bounds.leavingTargetMilliseconds must be greater than 0",
                 problems);
+        requireThat(
+                bounds.quotaWindowSeconds().orElse(1.0) > 0,
+                "bounds.quotaWindowSeconds must be greater than 0",
+                problems);
+        requireThat(bounds.quotaOvershoot().orElse(0.0) >= 0, "bounds.quotaOvershoot must not be negative", problems);
+        requireThat(
+                bounds.quotaSlackTokens().orElse(0.0) >= 0, "bounds.quotaSlackTokens must not be negative", problems);
     }
 
     private static void requireThat(boolean condition, String problem, List<String> problems) {
