--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/DaemonMain.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/DaemonMain.java
@@ -4,6 +4,7 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import io.fireflywalk.core.error.FireflywalkException;
+import io.fireflywalk.daemon.ingress.EnvironmentSettings;
 import io.fireflywalk.daemon.ingress.IngressSettings;
 import io.fireflywalk.daemon.settings.DaemonSettings;
 import io.fireflywalk.daemon.settings.SettingsLoader;
@@ -15,8 +16,6 @@
 import io.vertx.core.Vertx;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
 import org.jboss.logging.Logger;
 
 /** Command line of the daemon. */
@@ -37,12 +36,6 @@
     static final class ServeOptions {
         @Parameter(names = "--settings", description = "YAML settings file", required = true)
         Path settings;
-
-        @Parameter(
-                names = "--features",
-                description = "names of the platform's features in force, in addition to those of the settings file;"
-                        + " unknown ones are ignored")
-        List<String> features = new ArrayList<>();
     }
 
     /** Options of the demo command. */
@@ -70,7 +63,7 @@
             } else if (commander.getParsedCommand().equals("run")) {
                 run(SettingsLoader.load(run.settings));
             } else if (commander.getParsedCommand().equals("serve")) {
-                ServeCommand.run(IngressSettings.load(serve.settings).withFeatures(serve.features));
+                ServeCommand.run(EnvironmentSettings.apply(IngressSettings.load(serve.settings), System.getenv()));
             } else {
                 Demo.run(demo.port);
             }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
@@ -80,6 +80,7 @@
     private final PeerDatagrams datagrams;
     private final StoreRelay storeRelay;
     private final PromptQuarantine promptQuarantine;
+    private final QuotaExchange quotas;
     private final EventLoopMonitor eventLoopMonitor;
     private final IngressServer server;
     private boolean draining;
@@ -123,9 +124,8 @@
         this.coordinator = new FleetCoordinator(settings, store, timers, random);
         this.peerConfiguration = new PeerConfigurationSync(
                 vertx, settings, timers, random, configuration, configurationWatcher, coordinator);
-        UsageCounter usageCounter = new UsageCounter(
-                timers,
-                Duration.ofSeconds(settings.bounds().usageWindowSeconds()).toMillis());
+        UsageCounter usageCounter =
+                new UsageCounter(timers, 1000L * settings.bounds().usageWindowSeconds());
         this.usageReporter =
                 new IngressUsageReporter(settings, store, platform.controlPlane(), usageCounter, coordinator, timers);
         PromptPlacement promptPlacement = new PromptPlacement(RunnerLatencyModel.defaults(), random);
@@ -145,6 +145,8 @@
                 List.of(configurationWatcher, targetWatcher, coordinator.watcher()));
         this.promptQuarantine =
                 new PromptQuarantine(settings, broadcaster, directory, coordinator, store, timers, random, metrics);
+        this.quotas =
+                new QuotaExchange(settings, configuration, coordinator, store, datagrams, timers, random, metrics);
         TargetCrashDetector crashDetector = new TargetCrashDetector(
                 timers, Connector.of(createCrashCheckClient(vertx)), metrics, promptQuarantine::onCrash);
         this.eventLoopMonitor = new EventLoopMonitor(timers, metrics);
@@ -168,6 +170,7 @@
                 promptQuarantine,
                 new RetryBudgets(settings.bounds(), timers, coordinator::instanceCount),
                 usageCounter,
+                quotas,
                 metrics,
                 eventLoopMonitor,
                 bodyMemory,
@@ -281,6 +284,7 @@
                         () -> peerConfiguration.listen(host, settings.listen().peerPort())))
                 .compose(ignored ->
                         listen(() -> datagrams.listen(host, settings.listen().peerPort())))
+                .onSuccess(ignored -> quotas.start())
                 .compose(ignored -> listen(() -> vertx.createHttpServer()
                         .requestHandler(request -> request.response().end(MetricsRenderer.render(registry)))
                         .listen(settings.listen().metricsPort(), host)))
@@ -328,6 +332,7 @@
         }
         draining = true;
         coordinator.resign();
+        quotas.resign();
         LOG.infof("event=draining instance=%s requests=%d", settings.instance().name(), server.requestsInFlight());
         Duration grace = Duration.ofMillis((long) (1000 * settings.bounds().gracePeriodSeconds()))
                 .minus(EXIT_MARGIN);
