--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/PromptPlacement.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/PromptPlacement.java
@@ -27,6 +27,8 @@
     private static final double OTHER_ZONE_PENALTY_MILLISECONDS = 30;
     /** Cost of a target with a failure rate of 1. */
     private static final double FAILURE_PENALTY_MILLISECONDS = 4000;
+    /** Cost of a rejection: a round trip, and an attempt of the two that a prompt has. */
+    private static final double REJECTION_PENALTY_MILLISECONDS = 300;
     /** Delay of a prefill by each running request of a runner that also decodes. */
     private static final double DELAY_PER_STREAM_MILLISECONDS = 4;
 
@@ -119,6 +121,23 @@
             PromptSummary prompt,
             String availabilityZone,
             long now) {
+        return choose(targets, excluded, maximumInFlight, prompt, availabilityZone, Optional.empty(), now);
+    }
+
+    /**
+     * Chooses among the runners of all stages of a service.
+     *
+     * @param load load of the service, if its targets are chosen by work: the estimate then takes account of the reported
+     *     queue and slowdown of each runner
+     */
+    public Optional<Placement> choose(
+            Collection<TargetState> targets,
+            Set<String> excluded,
+            int maximumInFlight,
+            PromptSummary prompt,
+            String availabilityZone,
+            Optional<ServiceLoad> load,
+            long now) {
         List<TargetState> holders = targets.stream()
                 .filter(target -> target.hasPart(prompt.sharedPart(), now) && target.available(now))
                 .toList();
@@ -136,7 +155,7 @@
                 continue;
             }
             candidates++;
-            Placement placement = place(target, home, holders, prompt, availabilityZone, now);
+            Placement placement = place(target, home, holders, prompt, availabilityZone, load, now);
             if (best == null || placement.timeToFirstTokenMilliseconds() < best.timeToFirstTokenMilliseconds()) {
                 best = placement;
             }
@@ -160,12 +179,15 @@
             List<TargetState> holders,
             PromptSummary prompt,
             String availabilityZone,
+            Optional<ServiceLoad> load,
             long now) {
         int shared = prompt.sharedTokens();
         boolean isDecodeRunner = target.entry().stage() != Stage.PREFILL;
         boolean cachedOrPending = target.hasOrExpectsPart(prompt.sharedPart());
         Optional<TargetState> source = cachedOrPending ? Optional.empty() : source(target, holders);
-        double prefillFactor = prefillFactor(target.entry().service());
+        double timeFactor =
+                load.isPresent() ? target.work().timeFactor(load.get().meanSlowdown(), now) : 1;
+        double prefillFactor = timeFactor * prefillFactor(target.entry().service());
         double prefillMilliseconds =
                 prefillFactor * latencyModel.prefillMilliseconds(prompt.ownTokens(), shared, isDecodeRunner);
         double firstTokenMilliseconds = latencyModel.firstTokenMilliseconds();
@@ -177,6 +199,10 @@
             firstTokenMilliseconds -= home.filter(target::equals).isPresent() ? HOME_BONUS_MILLISECONDS : 0;
         }
         double waitMilliseconds = waitMilliseconds(target, prompt.priority(), isDecodeRunner, now);
+        if (load.isPresent()) {
+            waitMilliseconds = load.get().prefillWaitMilliseconds(target, waitMilliseconds, prefillMilliseconds, now);
+            firstTokenMilliseconds += load.get().rejectionProbability(target, now) * REJECTION_PENALTY_MILLISECONDS;
+        }
         firstTokenMilliseconds += prefillMilliseconds + waitMilliseconds;
         if (isDecodeRunner) {
             firstTokenMilliseconds += DECODE_RUNNER_PENALTY_MILLISECONDS;
@@ -190,7 +216,13 @@
         firstTokenMilliseconds +=
                 FAILURE_PENALTY_MILLISECONDS * target.failureRate() + MAXIMUM_JITTER_MILLISECONDS * random.nextDouble();
         return new Placement(
-                target, source, firstTokenMilliseconds, waitMilliseconds, prefillMilliseconds, prefillFactor, 0);
+                target,
+                source,
+                firstTokenMilliseconds,
+                waitMilliseconds,
+                prefillMilliseconds,
+                prefillFactor / timeFactor,
+                0);
     }
 
     private static double waitMilliseconds(TargetState target, int priority, boolean isDecodeRunner, long now) {
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetState.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetState.java
@@ -19,6 +19,7 @@
 
     private final PrefillQueue prefillQueue = new PrefillQueue();
     private final KvCacheEstimate kvCache;
+    private final TargetWork work = new TargetWork();
     private TargetEntry entry;
     private int inFlight;
     private int sentSinceReport;
@@ -56,6 +57,7 @@
         if (newEntry.startedAtMilliseconds() != entry.startedAtMilliseconds()) {
             prefillQueue.clear();
             kvCache.clear();
+            work.clear();
             consecutiveFailures = 0;
             failureRate = 0;
             backoffUntil = Long.MIN_VALUE / 2;
@@ -72,6 +74,7 @@
     public void recordSent() {
         inFlight++;
         sentSinceReport++;
+        work.recordSent();
         if (consecutiveFailures > 0) {
             probeInFlight = true;
         }
@@ -110,6 +113,7 @@
     /** Records the end of a request. */
     public void recordEnd() {
         inFlight--;
+        work.recordEnd();
     }
 
     /** Records that the head of a response arrived from the target. */
@@ -178,6 +182,11 @@
 
     // Queries
 
+    /** Returns what is known of the target's work and speed, for services whose targets are chosen by it. */
+    public TargetWork work() {
+        return work;
+    }
+
     /**
      * Tells whether the target may receive a request. A leaving target and one that wants none may not; a failing one
      * receives one probe at a time after its backoff.
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressContext.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressContext.java
@@ -2,7 +2,6 @@
 
 import io.fireflywalk.core.ingress.BodyMemory;
 import io.fireflywalk.core.ingress.PromptPlacement;
-import io.fireflywalk.core.ingress.TargetPicker;
 import io.fireflywalk.services.time.TimerService;
 import io.vertx.core.http.HttpClient;
 import java.util.function.BooleanSupplier;
@@ -19,7 +18,7 @@
         TargetProtocol targetProtocol,
         ConfigurationHolder configuration,
         TargetDirectory directory,
-        TargetPicker targetPicker,
+        TargetChooser targetChooser,
         PromptPlacement promptPlacement,
         PlacementBroadcaster placementBroadcaster,
         TargetCrashDetector crashDetector,
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
@@ -5,9 +5,11 @@
 import io.fireflywalk.core.ingress.BodyMemory;
 import io.fireflywalk.core.ingress.PromptPlacement;
 import io.fireflywalk.core.ingress.RunnerLatencyModel;
+import io.fireflywalk.core.ingress.ServiceLoads;
 import io.fireflywalk.core.ingress.ServiceProfile;
 import io.fireflywalk.core.ingress.ServiceProfile.EngineProfile;
 import io.fireflywalk.core.ingress.TargetPicker;
+import io.fireflywalk.core.ingress.WorkBasedPicker;
 import io.fireflywalk.daemon.ingress.FleetStore.Table;
 import io.fireflywalk.daemon.ingress.TargetCrashDetector.Connector;
 import io.fireflywalk.daemon.operators.MetricsRenderer;
@@ -163,7 +165,7 @@
                 platform.targetProtocol(),
                 configuration,
                 directory,
-                new TargetPicker(random),
+                createTargetChooser(platform, promptPlacement, metrics, random),
                 promptPlacement,
                 placementBroadcaster,
                 crashDetector,
@@ -178,6 +180,17 @@
         registerGauges(bodyMemory);
     }
 
+    private TargetChooser createTargetChooser(
+            IngressPlatform platform, PromptPlacement promptPlacement, IngressMetrics metrics, RandomGenerator random) {
+        return new TargetChooser(
+                new TargetPicker(random),
+                new WorkBasedPicker(random),
+                promptPlacement,
+                new ServiceLoads(platform.features().contains(DeploymentFeature.CONTENTION)),
+                metrics,
+                settings.instance().availabilityZone());
+    }
+
     private void registerGauges(BodyMemory bodyMemory) {
         registry.register("body_bytes_held", (Gauge<Long>) bodyMemory::heldBytes);
         registry.register("body_bytes_maximum", (Gauge<Long>) bodyMemory::maximumBytes);
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RemotePrefill.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RemotePrefill.java
@@ -142,7 +142,7 @@
         } else {
             context.metrics().count("prompt_refusals");
             exchange.target().recordPrefillCancelled(summary, queuedAt, now);
-            exchange.target().recordRefusal(now);
+            context.targetChooser().recordRejection(exchange.target(), head.load(), now);
             resumeRequest();
         }
     }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestForwarder.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestForwarder.java
@@ -8,9 +8,10 @@
 import io.fireflywalk.core.ingress.RequestDescription;
 import io.fireflywalk.core.ingress.RequestKind;
 import io.fireflywalk.core.ingress.TargetEntry.Stage;
-import io.fireflywalk.core.ingress.TargetPicker.Choice;
 import io.fireflywalk.core.ingress.TargetState;
 import io.fireflywalk.daemon.ingress.PromptQuarantine.Admission;
+import io.fireflywalk.daemon.ingress.TargetChooser.Chosen;
+import io.fireflywalk.daemon.ingress.TargetChooser.ExpectedWork;
 import io.fireflywalk.daemon.ingress.TargetProtocol.TargetRequest;
 import io.fireflywalk.daemon.ingress.TargetProtocol.TargetResponseHead;
 import io.reactivex.rxjava3.disposables.Disposable;
@@ -116,27 +117,15 @@
         int maximumInFlight = limits.requestsPerTarget(service);
         long now = context.timers().monotonicNanoseconds();
         if (shouldPrefillSeparately()) {
-            Optional<Placement> placement = context.promptPlacement()
-                    .choose(
-                            targets,
-                            attempts.excludedTargets(),
-                            maximumInFlight,
-                            summary,
-                            context.availabilityZone(),
-                            now);
+            Optional<Placement> placement =
+                    context.targetChooser().choosePrefill(service, attempts, targets, maximumInFlight, summary, now);
             if (placement.isPresent()) {
                 sendToPlacement(placement.get(), timeLeft);
                 return;
             }
         }
-        String zone = prefill.cacheZone().orElse(context.availabilityZone());
-        Optional<Choice> choice = context.targetPicker()
-                .leastLoaded(
-                        targets.stream().filter(TargetState::generates).toList(),
-                        attempts.excludedTargets(),
-                        maximumInFlight,
-                        zone,
-                        now);
+        Optional<Chosen> choice = context.targetChooser()
+                .choose(route, service, description, attempts, targets, maximumInFlight, prefill.cacheZone(), now);
         if (choice.isEmpty()) {
             retryAfter = context.directory()
                     .timeUntilFirstReturn(service)
@@ -144,8 +133,9 @@
             fail(attempts.rejections() > 0 ? ErrorKind.TARGET_REFUSED : ErrorKind.NO_TARGET, "no target is available");
             return;
         }
-        sendTo(choice.get().target(), Optional.empty(), timeLeft, StallTimer.defaultTimeout(route.latencyObjective()));
-        log.routing().add(() -> RequestLog.choiceFields(choice.get()));
+        Duration timeout = StallTimer.defaultTimeout(route.latencyObjective());
+        sendTo(choice.get().target(), choice.get().work(), Optional.empty(), timeLeft, timeout);
+        log.routing().add(choice.get().logFields());
     }
 
     private void refuseQuarantined(Admission admission) {
@@ -173,6 +163,7 @@
             context.placementBroadcaster().recordPlacement(placement, summary);
             sendTo(
                     target,
+                    Optional.empty(),
                     placement.fetchFrom(),
                     timeLeft,
                     placement.stallTimeout(StallTimer.defaultTimeout(route.latencyObjective())));
@@ -184,8 +175,14 @@
         }
     }
 
-    private void sendTo(TargetState target, Optional<TargetState> fetchFrom, Duration timeLeft, Duration timeout) {
+    private void sendTo(
+            TargetState target,
+            Optional<ExpectedWork> work,
+            Optional<TargetState> fetchFrom,
+            Duration timeLeft,
+            Duration timeout) {
         TargetExchange exchange = new TargetExchange(context, target, description.attemptIdentifier(), this);
+        exchange.expect(work);
         current = Optional.of(exchange);
         log.routing().replace(RequestLog.targetFields(target, context.timers().monotonicNanoseconds()));
         exchange.start(
@@ -247,7 +244,9 @@
     private void onRejected(TargetExchange exchange, TargetResponseHead head, HttpClientResponse response) {
         exchange.discard(response, false);
         current = Optional.empty();
-        exchange.target().recordRefusal(context.timers().monotonicNanoseconds());
+        context.targetChooser()
+                .recordRejection(
+                        exchange.target(), head.load(), context.timers().monotonicNanoseconds());
         if (finished) {
             return;
         }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestLog.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestLog.java
@@ -2,9 +2,11 @@
 
 import io.fireflywalk.core.ingress.HostRoute;
 import io.fireflywalk.core.ingress.PromptPlacement.Placement;
+import io.fireflywalk.core.ingress.RequestCost;
 import io.fireflywalk.core.ingress.RequestDescription;
 import io.fireflywalk.core.ingress.TargetPicker.Choice;
 import io.fireflywalk.core.ingress.TargetState;
+import io.fireflywalk.core.ingress.WorkBasedPicker.WorkChoice;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -99,6 +101,23 @@
         return String.format("cost=%.3f candidates=%d", choice.cost(), choice.candidates());
     }
 
+    /** Returns the fields of a target that was chosen by the work that it has to do; an age of -1 means no report. */
+    static String workChoiceFields(WorkChoice choice, RequestCost cost, double spreadMilliseconds) {
+        return String.format(
+                "expected_ms=%.0f request_ms=%.0f spread_ms=%.0f requests=%.1f work_ms=%.0f time_factor=%.2f"
+                        + " report_age_ms=%.0f runner_up=%s runner_up_ms=%.0f candidates=%d",
+                choice.expectedMilliseconds(),
+                cost.expectedMilliseconds(),
+                spreadMilliseconds,
+                choice.requests(),
+                choice.workMilliseconds(),
+                choice.timeFactor(),
+                Double.isInfinite(choice.reportAgeMilliseconds()) ? -1 : choice.reportAgeMilliseconds(),
+                choice.runnerUp().map(other -> other.entry().identifier()).orElse("-"),
+                choice.runnerUpMilliseconds(),
+                choice.candidates());
+    }
+
     /** Returns the fields of a target that was chosen for its time to read the prompt. */
     static String placementFields(Placement placement) {
         return String.format(
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetExchange.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetExchange.java
@@ -1,6 +1,7 @@
 package io.fireflywalk.daemon.ingress;
 
 import io.fireflywalk.core.ingress.TargetState;
+import io.fireflywalk.daemon.ingress.TargetChooser.ExpectedWork;
 import io.fireflywalk.daemon.ingress.TargetProtocol.TargetRequest;
 import io.fireflywalk.daemon.ingress.TargetProtocol.TargetResponseHead;
 import io.reactivex.rxjava3.core.Completable;
@@ -34,6 +35,7 @@
     private Optional<HttpClientRequest> request = Optional.empty();
     private Optional<HttpClientResponse> response = Optional.empty();
     private Optional<ResponseBatcher> batcher = Optional.empty();
+    private Optional<ExpectedWork> work = Optional.empty();
     private long connection;
     private int ordinal;
     private boolean sent;
@@ -61,9 +63,15 @@
         this.startedAt = context.timers().monotonicNanoseconds();
     }
 
+    /** Sets the work that the target is expected to have; called before the start. */
+    void expect(Optional<ExpectedWork> expected) {
+        work = expected;
+    }
+
     /** Connects and sends the request. */
     void start(HttpMethod method, String uri, MultiMap callerHeaders, Buffer body, TargetRequest requestHead) {
         target.recordSent();
+        work.ifPresent(expected -> context.targetChooser().recordStart(target, expected));
         RequestOptions options = new RequestOptions()
                 .setMethod(method)
                 .setHost(target.entry().host())
@@ -168,7 +176,7 @@
         }
         recordAnnouncements(head, now);
         target.recordResponseStart(now);
-        head.requests().ifPresent(requests -> target.recordReport(requests, now));
+        context.targetChooser().recordResponse(target, head, now);
         response = Optional.of(received);
         received.exceptionHandler(cause -> loseConnection("answer: " + cause.getMessage()));
         listener.onResponse(this, head, received);
@@ -222,6 +230,8 @@
     void complete(boolean healthy) {
         if (end() && healthy) {
             target.recordSuccess();
+            long now = context.timers().monotonicNanoseconds();
+            work.ifPresent(expected -> context.targetChooser().recordTime(target, expected, now - startedAt, now));
         }
     }
 
@@ -272,6 +282,7 @@
         }
         ended = true;
         target.recordEnd();
+        work.ifPresent(expected -> context.targetChooser().recordEnd(target, expected));
         return true;
     }
 
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetProtocol.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetProtocol.java
@@ -1,6 +1,7 @@
 package io.fireflywalk.daemon.ingress;
 
 import io.fireflywalk.core.error.FireflywalkException;
+import io.fireflywalk.core.ingress.ServerLoad;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
@@ -58,7 +59,7 @@
      * @param attemptIdentifier caller's attempt that the response belongs to, if stated
      * @param notExecuted true if the target states that it did not run the request
      * @param signed true if the response has the target's signature
-     * @param requests running and queued requests of the target, if stated
+     * @param load load of the target, if stated
      * @param leaving true if the target states that it leaves
      * @param holdOff time for which the target wants no request; stated with status 503 only
      */
@@ -67,7 +68,7 @@
             Optional<String> attemptIdentifier,
             boolean notExecuted,
             boolean signed,
-            Optional<Integer> requests,
+            Optional<ServerLoad> load,
             boolean leaving,
             Optional<Duration> holdOff) {
 
