--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressContext.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressContext.java
@@ -5,7 +5,6 @@
 import io.fireflywalk.core.ingress.PromptPlacement;
 import io.fireflywalk.core.ingress.PromptSummary;
 import io.fireflywalk.core.ingress.RequestDescription;
-import io.fireflywalk.core.ingress.TargetPicker;
 import io.fireflywalk.services.time.TimerService;
 import io.vertx.core.http.HttpClient;
 import java.util.function.BooleanSupplier;
@@ -22,7 +21,7 @@
         TargetProtocol targetProtocol,
         ConfigurationHolder configuration,
         TargetDirectory directory,
-        TargetPicker targetPicker,
+        TargetChooser targetChooser,
         PromptPlacement promptPlacement,
         PlacementBroadcaster placementBroadcaster,
         ArrivedWorkExchange arrivedWork,
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
@@ -6,9 +6,11 @@
 import io.fireflywalk.core.ingress.BodyMemory;
 import io.fireflywalk.core.ingress.PromptPlacement;
 import io.fireflywalk.core.ingress.RunnerLatencyModel;
+import io.fireflywalk.core.ingress.ServiceLoads;
 import io.fireflywalk.core.ingress.ServiceProfile;
 import io.fireflywalk.core.ingress.ServiceProfile.EngineProfile;
 import io.fireflywalk.core.ingress.TargetPicker;
+import io.fireflywalk.core.ingress.WorkBasedPicker;
 import io.fireflywalk.daemon.ingress.FleetStore.Table;
 import io.fireflywalk.daemon.ingress.TargetCrashDetector.Connector;
 import io.fireflywalk.daemon.operators.MetricsRenderer;
@@ -133,7 +135,8 @@
         FleetBroadcaster broadcaster = new FleetBroadcaster(datagrams, settings, coordinator, random);
         PlacementBroadcaster placementBroadcaster = new PlacementBroadcaster(broadcaster, timers, directory);
         IngressMetrics metrics = new IngressMetrics(registry);
-        this.arrivedWork = createArrivedWork(platform, promptPlacement, metrics);
+        ServiceLoads loads = new ServiceLoads(platform.features().contains(DeploymentFeature.CONTENTION));
+        this.arrivedWork = createArrivedWork(loads, promptPlacement, metrics);
         placementBroadcaster.onPlacement(arrivedWork::countPlacement);
         this.fleetScaler =
                 createFleetScaler(platform, metrics, new StageChangeBroadcaster(broadcaster, timers, directory));
@@ -162,7 +165,7 @@
                 platform.targetProtocol(),
                 configuration,
                 directory,
-                new TargetPicker(random),
+                createTargetChooser(loads, promptPlacement, metrics, random),
                 promptPlacement,
                 placementBroadcaster,
                 arrivedWork,
@@ -180,8 +183,7 @@
     }
 
     private ArrivedWorkExchange createArrivedWork(
-            IngressPlatform platform, PromptPlacement promptPlacement, IngressMetrics metrics) {
-        boolean demandBased = platform.features().contains(DeploymentFeature.CONTENTION);
+            ServiceLoads loads, PromptPlacement promptPlacement, IngressMetrics metrics) {
         return new ArrivedWorkExchange(
                 settings,
                 datagrams,
@@ -190,7 +192,7 @@
                 directory,
                 promptPlacement,
                 new ArrivedWorkCounter(RunnerLatencyModel.defaults()),
-                service -> demandBased,
+                service -> loads.byWork(service).isPresent(),
                 timers,
                 metrics);
     }
@@ -209,6 +211,17 @@
                 timers);
     }
 
+    private TargetChooser createTargetChooser(
+            ServiceLoads loads, PromptPlacement promptPlacement, IngressMetrics metrics, RandomGenerator random) {
+        return new TargetChooser(
+                new TargetPicker(random),
+                new WorkBasedPicker(random),
+                promptPlacement,
+                loads,
+                metrics,
+                settings.instance().availabilityZone());
+    }
+
     private void registerGauges(BodyMemory bodyMemory) {
         registry.register("body_bytes_held", (Gauge<Long>) bodyMemory::heldBytes);
         registry.register("body_bytes_maximum", (Gauge<Long>) bodyMemory::maximumBytes);
