--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/quota/PoolLease.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/quota/PoolLease.java
@@ -18,6 +18,9 @@
 
     private static final long TAKEOVER_MARGIN = Duration.ofMillis(400).toNanos();
     private static final long RENEWAL_INTERVAL = Duration.ofSeconds(2).toNanos();
+    /** After as many renewals, the epoch is older than the lifetime of grants. */
+    private static final int RENEWALS_IN_LIFETIME = 2;
+
     /** Bounds the writes that fail while the store does not respond. */
     private static final long TAKEOVER_INTERVAL = Duration.ofSeconds(1).toNanos();
     /** The instance that ranks first for a pool takes it first, so that one granter does not get all pools. */
@@ -29,7 +32,7 @@
     private final String instance;
     private final String process;
     private final long startedAt;
-    private Row observed = new Row(NO_HOLDER, "", 0);
+    private Row observed = new Row(NO_HOLDER, "", 0, 0);
     private long observedVersion;
     private boolean removed;
     private long observedAt;
@@ -47,8 +50,15 @@
      * @param holder name of the instance; empty if the lease was released
      * @param process identifier of the process of the instance
      * @param epoch number of the takeover
+     * @param renewals number of renewals in this epoch, which are at least the renewal interval apart
      */
-    public record Row(String holder, String process, long epoch) {}
+    public record Row(String holder, String process, long epoch, long renewals) {
+
+        /** Tells whether the row names the same holder in the same epoch. */
+        public boolean isSameEpoch(Row other) {
+            return holder.equals(other.holder) && process.equals(other.process) && epoch == other.epoch;
+        }
+    }
 
     /** Write to attempt, on condition of the version of the row; 0 means that there must be none. */
     public record Write(Row row, long version, long sentAt) {}
@@ -74,7 +84,7 @@
     /** Records that the row was removed; its epoch stays known, so that the next one is not taken for the first. */
     public void onRemoved(long version, ClockReading now) {
         if (version > observedVersion) {
-            onRow(new Row(NO_HOLDER, "", observed.epoch()), version, now);
+            onRow(new Row(NO_HOLDER, "", observed.epoch(), 0), version, now);
             removed = true;
         }
     }
@@ -111,7 +121,10 @@
         if (now.slow() - writtenAt < interval || (!isOwn() && !mayTakeOver(rank, now))) {
             return Optional.empty();
         }
-        return Optional.of(write(new Row(instance, process, isOwn() ? observed.epoch() : observed.epoch() + 1), now));
+        Row row = isOwn()
+                ? new Row(instance, process, observed.epoch(), observed.renewals() + 1)
+                : new Row(instance, process, observed.epoch() + 1, 0);
+        return Optional.of(write(row, now));
     }
 
     private Write write(Row row, ClockReading now) {
@@ -126,9 +139,12 @@
         if (observed.holder().equals(NO_HOLDER)) {
             return unchanged >= delay;
         }
-        // Names are unique among running instances, so the process that held the lease has ended.
+        // Names are unique among running instances, so the process that held the lease has ended. Its epoch must have
+        // begun
+        // long enough ago, which its renewals or the age of this process show.
         boolean predecessorEnded = observed.holder().equals(instance)
-                && now.slow() - startedAt >= QuotaPool.LIFETIME.toNanos() + TAKEOVER_MARGIN;
+                && (observed.renewals() >= RENEWALS_IN_LIFETIME
+                        || now.slow() - startedAt >= QuotaPool.LIFETIME.toNanos() + TAKEOVER_MARGIN);
         return predecessorEnded || unchanged >= TERM.toNanos() + TAKEOVER_MARGIN + delay;
     }
 
@@ -165,6 +181,6 @@
         if (!acquired || writing || !isOwn() || young) {
             return Optional.empty();
         }
-        return Optional.of(write(new Row(NO_HOLDER, "", observed.epoch()), now));
+        return Optional.of(write(new Row(NO_HOLDER, "", observed.epoch(), 0), now));
     }
 }
--- a/fireflywalk-core/src/test/java/io/fireflywalk/core/quota/QuotaFleet.java
+++ b/fireflywalk-core/src/test/java/io/fireflywalk/core/quota/QuotaFleet.java
@@ -70,6 +70,10 @@
 
     /** Delivers a message to an instance unless it is lost; one that is frozen reads it when it wakes. */
     private void deliver(Instance from, Instance to, Runnable action) {
+        if (from == to) {
+            to.receive(action);
+            return;
+        }
         if (from.cutOff || to.cutOff || random.nextDouble() < lossRate) {
             return;
         }
@@ -120,7 +124,11 @@
         private final List<Runnable> unread = new ArrayList<>();
         boolean frozen;
         boolean suspended;
+        /** Reaches neither the store nor other instances. */
         boolean cutOff;
+        /** Does not reach the store. */
+        boolean storeCut;
+
         boolean gone;
         private String process = "";
         private long startedAt;
@@ -181,6 +189,8 @@
         }
 
         void recover() {
+            cutOff = false;
+            storeCut = false;
             if (gone) {
                 restart();
             }
@@ -222,7 +232,7 @@
         private Fleet fleet() {
             return new Fleet(
                     largestFleet,
-                    now - startedAt > SHARE_DELAY && !cutOff,
+                    now - startedAt > SHARE_DELAY,
                     java.util.stream.IntStream.range(0, QuotaLimits.POOLS)
                             .mapToObj(pool -> granter(pool).isPresent())
                             .toList());
@@ -292,7 +302,7 @@
             }
             step();
             allowance.maintain(fleet(), reading()).forEach(this::send);
-            if (now - lastPollAt > 1500 * MILLISECOND && !storeDown && !cutOff) {
+            if (now - lastPollAt > 1500 * MILLISECOND && !storeDown && !cutOff && !storeCut) {
                 lastPollAt = now;
                 for (int pool = 0; pool < QuotaLimits.POOLS; pool++) {
                     observe(pool);
@@ -326,7 +336,7 @@
         }
 
         private void commit(int pool, PoolLease.Write write) {
-            if (storeDown || cutOff) {
+            if (storeDown || cutOff || storeCut) {
                 leases[pool].onNotWritten();
             } else if (versions[pool] != write.version()) {
                 leases[pool].onNotWritten();
--- a/fireflywalk-core/src/test/java/io/fireflywalk/core/quota/QuotaProperties.java
+++ b/fireflywalk-core/src/test/java/io/fireflywalk/core/quota/QuotaProperties.java
@@ -5,11 +5,13 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.fireflywalk.core.quota.AccountQuota.Unit;
 import io.fireflywalk.core.quota.QuotaFleet.Instance;
 import java.util.List;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.LongRange;
 
 /**
@@ -68,6 +70,48 @@
         assertTrue(excess <= 0, "the quota is exceeded by " + excess);
     }
 
+    /** A burst above what accrues in a window, so that anything granted twice exceeds the rule. */
+    @Property(tries = 150, seed = "5")
+    void sumHoldsForBurstsAfterFailures(@ForAll long seed, @ForAll @IntRange(min = 2, max = 4) int size) {
+        AccountQuota quota = new AccountQuota(Unit.TOKENS, 10_000, 100_000, 200);
+        QuotaTerms terms = new QuotaTerms(8, 0.1, 0);
+        QuotaFleet fleet = new QuotaFleet(seed, quota, terms, size);
+        fleet.lateRate = 0;
+        load(fleet, 3_000, 21 * SECOND);
+        for (int step = 0; step < 5; step++) {
+            load(fleet, 3_000, (1 + fleet.random.nextInt(13)) * SECOND);
+            int failures = 1 + fleet.random.nextInt(3);
+            for (int failure = 0; failure < failures; failure++) {
+                fail(fleet);
+                load(fleet, fleet.random.nextInt(3) == 0 ? 500_000 : 3_000, fleet.random.nextInt(14) * SECOND / 4);
+            }
+            if (fleet.random.nextBoolean()) {
+                load(fleet, 3_000, fleet.random.nextInt(25) * SECOND);
+            }
+            fleet.instances.forEach(Instance::recover);
+            load(fleet, 500_000, SECOND);
+            load(fleet, 40_000, 8 * SECOND);
+        }
+        double excess = fleet.excessInAnyWindow(quota, 0);
+        assertTrue(excess <= 0, "the quota is exceeded by " + excess);
+    }
+
+    /** One failure, of a granter more often than of another instance. */
+    private static void fail(QuotaFleet fleet) {
+        List<Instance> granters =
+                fleet.instances.stream().filter(Instance::grants).toList();
+        List<Instance> candidates = granters.isEmpty() || fleet.random.nextInt(3) == 0 ? fleet.instances : granters;
+        Instance chosen = candidates.get(fleet.random.nextInt(candidates.size()));
+        switch (fleet.random.nextInt(6)) {
+            case 0 -> chosen.freeze(false);
+            case 1 -> chosen.freeze(true);
+            case 2 -> chosen.cutOff = true;
+            case 3 -> chosen.storeCut = true;
+            case 4 -> chosen.leave();
+            default -> chosen.restart();
+        }
+    }
+
     @Property(tries = 40, seed = "7")
     void sumHoldsWhenGrantersFailOneAfterAnother(@ForAll long seed) {
         AccountQuota quota = QuotaFleet.tokens(60_000);
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/QuotaLeases.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/QuotaLeases.java
@@ -89,7 +89,7 @@
                 leases.get(pool).onRow(QuotaMessages.decodeRow(row.value().get()), row.version(), clock.get());
             }
             PoolLease.Row after = leases.get(pool).observed();
-            if (!before.equals(after)) {
+            if (!before.isSameEpoch(after)) {
                 LOG.infof(
                         "event=quota_granter_changed pool=%d holder=%s epoch=%d", pool, after.holder(), after.epoch());
             }
@@ -100,7 +100,7 @@
 
     private void commit(int pool, PoolLease.Write write) {
         String key = ROW_PREFIX + pool;
-        boolean takeover = !write.row().equals(leases.get(pool).observed());
+        boolean takeover = !write.row().isSameEpoch(leases.get(pool).observed());
         var unused = store.commit(RowTransaction.empty()
                         .withPrecondition(Table.COORDINATION, key, write.version())
                         .withWrite(Table.COORDINATION, key, QuotaMessages.encode(write.row())))
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/QuotaMessages.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/QuotaMessages.java
@@ -30,6 +30,7 @@
     private static final String EPOCH = "epoch";
     private static final String ENTRIES = "entries";
     private static final String HOLDER = "holder";
+    private static final String RENEWALS = "renewals";
     /** Part of a message that is left for its head. */
     private static final int HEAD_BYTES = 400;
 
@@ -143,6 +144,7 @@
                 .put(HOLDER, row.holder())
                 .put(PROCESS, row.process())
                 .put(EPOCH, row.epoch())
+                .put(RENEWALS, row.renewals())
                 .toString());
     }
 
@@ -151,7 +153,11 @@
         if (!row.path(HOLDER).isTextual() || !row.path(PROCESS).isTextual()) {
             throw invalid("the holder or its process is missing");
         }
-        return new PoolLease.Row(row.path(HOLDER).textValue(), row.path(PROCESS).textValue(), number(row.path(EPOCH)));
+        return new PoolLease.Row(
+                row.path(HOLDER).textValue(),
+                row.path(PROCESS).textValue(),
+                number(row.path(EPOCH)),
+                number(row.path(RENEWALS)));
     }
 
     private static JsonNode entries(JsonNode message, int fields) throws FireflywalkException {
