--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/admission/AdmissionSettings.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/admission/AdmissionSettings.java
@@ -25,7 +25,17 @@
         double outputWeight) {
     private static final AdmissionSettings DEFAULT = new AdmissionSettings(0.35, 1.3, 4, 20_000, 5, 64, 1_024, 0.4, 7);
 
+    /**
+     * Settings of the request queue of {@code serve}, whose costs are in requests of a plain service or thousands of
+     * weighted tokens. An instance sees a few requests a second, so the balance of an account is limited to a few of them.
+     */
+    private static final AdmissionSettings REQUEST_QUEUE = new AdmissionSettings(0.35, 1.3, 4, 20, 5, 64, 256, 0.4, 7);
+
     public static AdmissionSettings defaults() {
         return DEFAULT;
     }
+
+    public static AdmissionSettings requestQueue() {
+        return REQUEST_QUEUE;
+    }
 }
--- /dev/null
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/admission/CompletionRate.java
@@ -0,0 +1,30 @@
+package io.fireflywalk.core.admission;
+
+/** Rate of events as an exponentially decaying average. Not thread-safe. */
+public final class CompletionRate {
+    /** Longer than the waves of load at targets are short, so that one burst of completions does not count as a rate. */
+    private static final double DECAY_SECONDS = 2;
+    /** Fewer recent events say nothing about the rate. */
+    private static final double MINIMUM_EVENTS = 2;
+
+    private static final double NANOSECONDS_PER_SECOND = 1e9;
+
+    private double events;
+    private long updatedAt;
+
+    /** Records an event. */
+    public void record(long now) {
+        events = events(now) + 1;
+        updatedAt = now;
+    }
+
+    /** Returns the events per second, or 0 if there were too few to tell. */
+    public double perSecond(long now) {
+        double recent = events(now);
+        return recent < MINIMUM_EVENTS ? 0 : recent / DECAY_SECONDS;
+    }
+
+    private double events(long now) {
+        return events * Math.exp(-Math.max(0, now - updatedAt) / NANOSECONDS_PER_SECOND / DECAY_SECONDS);
+    }
+}
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/error/ErrorKind.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/error/ErrorKind.java
@@ -48,6 +48,7 @@
     TARGET_PROTOCOL(502, false, RunState.UNKNOWN, LogLevel.WARN, "The target's response violated the protocol."),
     NO_TARGET(503, true, RunState.NOT_RUN, LogLevel.WARN, "The service has no eligible target."),
     TARGET_REFUSED(503, true, RunState.NOT_RUN, LogLevel.INFO, "Every target refused the request before running it."),
+    NO_PLACE(503, true, RunState.NOT_RUN, LogLevel.INFO, "All targets of the service are full; see event=request."),
     PROMPT_QUARANTINED(
             503,
             true,
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/CallerExchange.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/CallerExchange.java
@@ -18,8 +18,8 @@
  * one event loop.
  */
 final class CallerExchange {
-    /** Retry-After of rejected requests: half the period of short load peaks. */
-    private static final Duration RETRY_AFTER = Duration.ofMillis(1400);
+    /** Retry-After of refusals that no observed drain rate explains: half the period of short load peaks. */
+    static final Duration RETRY_AFTER = Duration.ofMillis(1400);
 
     private final IngressContext context;
     private final HttpServerRequest request;
@@ -205,7 +205,9 @@
         response.setStatusCode(cause.kind().httpStatus());
         response.putHeader("content-type", "application/json");
         if (cause.kind().retryable() && cause.kind().runState() == RunState.NOT_RUN) {
-            context.callerProtocol().setRetryAfter(response.headers(), retryAfter.orElse(RETRY_AFTER));
+            Duration delay = retryAfter.orElse(RETRY_AFTER);
+            context.callerProtocol().setRetryAfter(response.headers(), delay);
+            context.metrics().retryAfter(delay);
         }
         addCloseHeader();
         JsonObject error = new JsonObject()
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressContext.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressContext.java
@@ -5,6 +5,7 @@
 import io.fireflywalk.core.ingress.TargetPicker;
 import io.fireflywalk.services.time.TimerService;
 import io.vertx.core.http.HttpClient;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 
@@ -25,6 +26,8 @@
         TargetCrashDetector crashDetector,
         PromptQuarantine promptQuarantine,
         RetryBudgets retryBudgets,
+        RequestQueue requestQueue,
+        Set<DeploymentFeature> features,
         UsageCounter usageCounter,
         IngressMetrics metrics,
         EventLoopMonitor eventLoopMonitor,
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
@@ -2,12 +2,14 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import io.fireflywalk.core.admission.CompletionRates;
 import io.fireflywalk.core.ingress.BodyMemory;
 import io.fireflywalk.core.ingress.PromptPlacement;
 import io.fireflywalk.core.ingress.RunnerLatencyModel;
 import io.fireflywalk.core.ingress.ServiceProfile;
 import io.fireflywalk.core.ingress.ServiceProfile.EngineProfile;
 import io.fireflywalk.core.ingress.TargetPicker;
+import io.fireflywalk.core.ingress.TargetPlaces;
 import io.fireflywalk.daemon.ingress.FleetStore.Table;
 import io.fireflywalk.daemon.ingress.TargetCrashDetector.Connector;
 import io.fireflywalk.daemon.operators.MetricsRenderer;
@@ -121,9 +123,7 @@
         this.coordinator = new FleetCoordinator(settings, store, timers, random);
         this.peerConfiguration = new PeerConfigurationSync(
                 vertx, settings, timers, random, configuration, configurationWatcher, coordinator);
-        UsageCounter usageCounter = new UsageCounter(
-                timers,
-                Duration.ofSeconds(settings.bounds().usageWindowSeconds()).toMillis());
+        UsageCounter usageCounter = createUsageCounter(settings, timers);
         this.usageReporter =
                 new IngressUsageReporter(settings, store, platform.controlPlane(), usageCounter, coordinator, timers);
         this.fleetScaler = new FleetScaler(
@@ -153,6 +153,7 @@
         this.eventLoopMonitor = new EventLoopMonitor(timers, metrics);
         TargetConnectionTracker targetConnections = new TargetConnectionTracker(
                 timers, metrics, platform.targetProtocol().attemptIdentifierHeader());
+        RequestQueue requestQueue = createRequestQueue(platform, random, metrics);
         IngressContext context = new IngressContext(
                 settings,
                 timers,
@@ -169,19 +170,22 @@
                 crashDetector,
                 promptQuarantine,
                 new RetryBudgets(settings.bounds(), timers, coordinator::instanceCount),
+                requestQueue,
+                platform.features(),
                 usageCounter,
                 metrics,
                 eventLoopMonitor,
                 bodyMemory,
                 () -> draining);
         this.server = new IngressServer(vertx, context, this::requestsPerTarget);
-        registerGauges(bodyMemory);
+        registerGauges(bodyMemory, requestQueue);
     }
 
-    private void registerGauges(BodyMemory bodyMemory) {
+    private void registerGauges(BodyMemory bodyMemory, RequestQueue requestQueue) {
         registry.register("body_bytes_held", (Gauge<Long>) bodyMemory::heldBytes);
         registry.register("body_bytes_maximum", (Gauge<Long>) bodyMemory::maximumBytes);
         registry.register("bodies_waiting", (Gauge<Integer>) bodyMemory::waitingBodies);
+        registry.register("requests_waiting", (Gauge<Integer>) requestQueue::waiting);
         registry.register("configuration_version", (Gauge<Long>) configuration::version);
         registry.register("targets", (Gauge<Integer>) directory::size);
         registry.register("instances", (Gauge<Integer>) coordinator::instanceCount);
@@ -191,6 +195,30 @@
                 "lease_held", (Gauge<Integer>) () -> coordinator.fencingToken().isPresent() ? 1 : 0);
     }
 
+    private static UsageCounter createUsageCounter(IngressSettings settings, TimerService timers) {
+        return new UsageCounter(
+                timers,
+                Duration.ofSeconds(settings.bounds().usageWindowSeconds()).toMillis());
+    }
+
+    private RequestQueue createRequestQueue(IngressPlatform platform, RandomGenerator random, IngressMetrics metrics) {
+        CompletionRates completionRates = new CompletionRates();
+        return new RequestQueue(
+                platform.features().contains(DeploymentFeature.CONTENTION),
+                timers,
+                random,
+                directory,
+                (service, now) -> TargetPlaces.of(
+                        directory.forService(service),
+                        requestsPerTarget(service),
+                        completionRates.perSecond(service, now),
+                        now),
+                completionRates,
+                // The configuration states no priorities of accounts yet.
+                account -> AccountPriorities.DEFAULT,
+                metrics);
+    }
+
     private static HttpClient createTargetClient(Vertx vertx, TargetConnectionTracker connections) {
         return vertx.httpClientBuilder()
                 .with(new HttpClientOptions()
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressMetrics.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressMetrics.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
+import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.jboss.logging.Logger;
@@ -24,6 +25,8 @@
     private final MetricRegistry registry;
     private final Timer firstByte;
     private final Timer totalTime;
+    private final Timer queueWait;
+    private final Timer retryAfter;
     private long currentSecond;
     private int answeredLines;
     private int failedLines;
@@ -34,6 +37,8 @@
         this.registry = registry;
         this.firstByte = registry.timer("request_first_byte_seconds");
         this.totalTime = registry.timer("request_total_seconds");
+        this.queueWait = registry.timer("queue_wait_seconds");
+        this.retryAfter = registry.timer("retry_after_seconds");
     }
 
     /** Increments a counter. */
@@ -46,6 +51,16 @@
         firstByte.update(nanoseconds, TimeUnit.NANOSECONDS);
     }
 
+    /** Records how long a request waited for a place. */
+    void queueWait(long nanoseconds) {
+        queueWait.update(nanoseconds, TimeUnit.NANOSECONDS);
+    }
+
+    /** Records the time after which a refused caller was told to return. */
+    void retryAfter(Duration delay) {
+        retryAfter.update(delay.toNanos(), TimeUnit.NANOSECONDS);
+    }
+
     /**
      * Records the end of a request and logs it if the rate limit allows.
      *
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestForwarder.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestForwarder.java
@@ -32,8 +32,6 @@
     private static final Duration MINIMUM_ATTEMPT_TIME = Duration.ofMillis(15);
     /** Longer responses are passed on as they arrive, so that a body without end takes no more memory. */
     private static final int MAXIMUM_COLLECTED_BYTES = 65_536;
-    /** Spreads the return of callers that are refused while all targets want no requests. */
-    private static final int RETURN_SPREAD_MILLISECONDS = 500;
     /** A stream with a longer event is broken off. */
     private static final int MAXIMUM_EVENT_BYTES = 262_144;
 
@@ -52,6 +50,8 @@
     private final RemotePrefill prefill;
     private final StallTimer stallTimer;
     private final RequestLog log;
+    private final RequestAdmission admission;
+    private final RequestEnd end;
     private Optional<TargetExchange> current = Optional.empty();
     private Disposable deadlineTimer = Disposable.disposed();
     /** Time after which a refused caller may return, if it is known. */
@@ -80,12 +80,16 @@
                 .deadline()
                 .filter(stated -> stated.compareTo(route.timeout()) < 0)
                 .orElse(route.timeout());
-        this.attempts = new RequestAttempts(context.retryBudgets(), route, service);
+        this.attempts = new RequestAttempts(
+                context.retryBudgets(), route, service, context.requestQueue().enabled());
         this.summary = description.summary(route.runnerPriority());
         this.quarantine = new RequestQuarantine(context, description);
         this.prefill = new RemotePrefill(context, caller, description, summary, quarantine, this::dispatch);
         this.stallTimer = new StallTimer(context);
         this.log = new RequestLog(description, route, clientAccount, deadline);
+        this.admission =
+                new RequestAdmission(context, caller, route, description, clientAccount, service, deadline, attempts);
+        this.end = new RequestEnd(context, caller, log, attempts, prefill, admission);
     }
 
     void start() {
@@ -93,11 +97,20 @@
         caller.onDisconnect(this::onCallerDisconnect);
         caller.onStop(this::onInstanceStop);
         deadlineTimer = context.timers().after(remaining()).subscribe(this::onDeadline);
-        dispatch();
+        enterQueue();
     }
 
     // Dispatch
 
+    private void enterQueue() {
+        if (context.requestQueue().enabled() && quarantine.refusal().isPresent()) {
+            // The dispatch refuses it; it must not wait for that.
+            dispatch();
+        } else {
+            admission.enter(this::dispatch, this::fail);
+        }
+    }
+
     private void dispatch() {
         if (finished) {
             return;
@@ -137,10 +150,11 @@
                         maximumInFlight,
                         zone,
                         now);
+        if (choice.isEmpty() && !executionStarted && admission.enterAgain(this::dispatch, this::fail)) {
+            return;
+        }
         if (choice.isEmpty()) {
-            retryAfter = context.directory()
-                    .timeUntilFirstReturn(service)
-                    .map(earliest -> earliest.plusMillis(context.random().nextInt(RETURN_SPREAD_MILLISECONDS)));
+            retryAfter = admission.timeUntilFirstReturn();
             fail(attempts.rejections() > 0 ? ErrorKind.TARGET_REFUSED : ErrorKind.NO_TARGET, "no target is available");
             return;
         }
@@ -252,12 +266,13 @@
             return;
         }
         context.metrics().count("target_refusals");
+        admission.recordRejection();
         boolean mayFollow = attempts.recordRejection(exchange);
         if (streaming) {
             abort("resumption rejected with status " + head.status());
         } else if (mayFollow && context.retryBudgets().trySpend(service)) {
             prefill.onCacheRejected();
-            dispatch();
+            enterQueue();
         } else {
             fail(ErrorKind.TARGET_REFUSED, "targets refused the request");
         }
@@ -431,13 +446,8 @@
         if (finished) {
             return;
         }
-        fail(mayHaveRun() ? ErrorKind.DEADLINE_EXCEEDED : ErrorKind.DEADLINE_UNREACHABLE, "the deadline passed");
-    }
-
-    private boolean mayHaveRun() {
-        return attempts.possiblyRun() > 0
-                || current.filter(exchange -> exchange.sent() && !exchange.ended())
-                        .isPresent();
+        boolean mayHaveRun = attempts.mayHaveRun(current);
+        fail(mayHaveRun ? ErrorKind.DEADLINE_EXCEEDED : ErrorKind.DEADLINE_UNREACHABLE, "the deadline passed");
     }
 
     /** Answers with an error, or breaks off a response that has begun, which an error cannot follow. */
@@ -446,10 +456,12 @@
             abort(cause);
             return;
         }
-        ErrorKind reportedKind =
-                mayHaveRun() && TargetResponseHead.impliesNotRun(kind.httpStatus()) ? ErrorKind.TARGET_FAILED : kind;
+        ErrorKind reportedKind = attempts.mayHaveRun(current) && TargetResponseHead.impliesNotRun(kind.httpStatus())
+                ? ErrorKind.TARGET_FAILED
+                : kind;
         finish(reportedKind.code(), reportedKind.httpStatus(), false, cause);
-        caller.sendError(new FireflywalkException(reportedKind, cause, "request"), retryAfter);
+        Optional<Duration> delay = retryAfter.or(() -> admission.retryAfter(reportedKind));
+        caller.sendError(new FireflywalkException(reportedKind, cause, "request"), delay);
     }
 
     private void abort(String cause) {
@@ -476,22 +488,9 @@
         deadlineTimer.dispose();
         stallTimer.stop();
         prefill.close();
-        // Cancelling a request that must run at most once would leave its outcome unknown, so it goes on without its
-        // caller.
-        boolean sent = current.filter(TargetExchange::sent).isPresent();
-        if (outcome.equals("caller_left") && sent && route.kind() == RequestKind.NON_IDEMPOTENT) {
-            var unused = context.timers().after(remaining()).subscribe(() -> current.ifPresent(TargetExchange::cancel));
-        } else {
-            current.ifPresent(TargetExchange::cancel);
-        }
-        long version = context.configuration().version();
-        var result = RequestLog.Result.of(
-                outcome, status, cause, firstByteMilliseconds, caller.elapsed(), attempts, version);
-        long now = context.timers().monotonicNanoseconds();
-        long elapsed = result.elapsed().toNanos();
-        boolean atFirstAttempt = answered && log.attempts() <= 1;
-        context.metrics()
-                .requestEnded(now, elapsed, outcome, atFirstAttempt, () -> log.format(result, prefill.logFields()));
+        admission.end(answered, firstByteMilliseconds);
+        current.ifPresent(exchange -> end.cancel(exchange, outcome, route.kind(), remaining()));
+        end.record(outcome, status, answered, cause, firstByteMilliseconds);
     }
 
     private Duration remaining() {
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetExchange.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetExchange.java
@@ -222,6 +222,9 @@
     void complete(boolean healthy) {
         if (end() && healthy) {
             target.recordSuccess();
+            if (target.generates()) {
+                context.requestQueue().recordCompletion(target.entry().service());
+            }
         }
     }
 
