--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/admission/CompletionRate.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/admission/CompletionRate.java
@@ -20,11 +20,16 @@
 
     /** Returns the events per second, or 0 if there were too few to tell. */
     public double perSecond(long now) {
-        double recent = events(now);
-        return recent < MINIMUM_EVENTS ? 0 : recent / DECAY_SECONDS;
+        return events(now) < MINIMUM_EVENTS ? 0 : uncertainPerSecond(now);
     }
 
-    private double events(long now) {
+    /** Returns the events per second, even if there were few. */
+    double uncertainPerSecond(long now) {
+        return events(now) / DECAY_SECONDS;
+    }
+
+    /** Returns the number of events, each of which counts less the longer ago it was. */
+    double events(long now) {
         return events * Math.exp(-Math.max(0, now - updatedAt) / NANOSECONDS_PER_SECOND / DECAY_SECONDS);
     }
 }
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/admission/QueueDecision.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/admission/QueueDecision.java
@@ -8,8 +8,10 @@
  *
  * @param outcome admitted, queued or refused
  * @param reason what decided
+ * @param expectedWaitNanoseconds expected wait that decided on a queued or refused request; -1 if not known
  */
-public record QueueDecision(AdmissionDecision outcome, Reason reason) {
+public record QueueDecision(AdmissionDecision outcome, Reason reason, long expectedWaitNanoseconds) {
+    private static final long UNKNOWN = -1;
 
     /** Reason of a decision. */
     public enum Reason {
@@ -38,15 +40,19 @@
 
     /** Returns the admission of a request. */
     public static QueueDecision admitted(long id, Reason reason) {
-        return new QueueDecision(AdmissionDecision.admitted(id), reason);
+        return new QueueDecision(AdmissionDecision.admitted(id), reason, UNKNOWN);
     }
 
-    static QueueDecision queued(long id) {
-        return new QueueDecision(AdmissionDecision.queued(id), Reason.TARGETS_FULL);
+    static QueueDecision queued(long id, long expectedWaitNanoseconds) {
+        return new QueueDecision(AdmissionDecision.queued(id), Reason.TARGETS_FULL, expectedWaitNanoseconds);
     }
 
     static QueueDecision refused(long id, Reason reason) {
+        return refused(id, reason, UNKNOWN);
+    }
+
+    static QueueDecision refused(long id, Reason reason, long expectedWaitNanoseconds) {
         ErrorKind kind = reason == Reason.DEADLINE ? ErrorKind.DEADLINE_UNREACHABLE : ErrorKind.NO_PLACE;
-        return new QueueDecision(AdmissionDecision.refused(id, kind, 0), reason);
+        return new QueueDecision(AdmissionDecision.refused(id, kind, 0), reason, expectedWaitNanoseconds);
     }
 }
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/admission/WaitQueue.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/admission/WaitQueue.java
@@ -8,6 +8,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
@@ -18,11 +19,12 @@
  * objective, or longer if the observed rate of completions says that its turn comes in time.
  *
  * <p>Requests are admitted by the priority of their account, then of their route, then by whether they can still be on
- * time, and among equal ones by the time of their objective, which is moved back for accounts above their share. A class
- * that has been passed over several times gets one place, so that none waits for ever.
+ * time, and among equal ones by the time of their objective, which is moved back for accounts above their share. A kind
+ * of requests that has been passed over several times gets one place, so that none waits for ever.
  *
- * <p>The estimate of free places is noisy: an instance sees a small part of the load. The queue therefore never refuses
- * a request only because the targets look full, unless a target has recently rejected one.
+ * <p>The estimate of free places is noisy: an instance sees a small part of the load. A wait therefore ends early with
+ * the request being sent, unless the targets reject the requests of this instance at least as often as they complete
+ * them.
  *
  * <p>Not thread-safe.
  */
@@ -34,16 +36,16 @@
     private static final double WAIT_TOLERANCE = 2;
     /** Shorter waits are not worth a timer: a target's own queue delays a request by as much. */
     private static final long MINIMUM_WAIT_NANOSECONDS = 5_000_000L;
-    /** A target that rejected a request so recently is taken to be full with its own queue. */
-    private static final long REJECTION_MEMORY_NANOSECONDS = 1_000_000_000L;
-    /** A class that has been passed over so often gets the next place, which is a share of a ninth. */
+    /** One rejection counts for about a second. */
+    private static final double MINIMUM_REJECTIONS = 0.6;
+    /** A kind that has been passed over so often gets the next place, which is a share of a ninth. */
     private static final int MAXIMUM_PASSED_OVER = 8;
 
     private final AdmissionSettings settings;
     private final AccountDeficits deficits;
     private final List<Entry> waiting = new ArrayList<>();
-    private final Map<Urgency, Integer> passedOver = new HashMap<>();
-    private long rejectedAt = Long.MIN_VALUE / 2;
+    private final Map<Kind, Integer> passedOver = new HashMap<>();
+    private final CompletionRate rejections = new CompletionRate();
 
     /** Creates a queue with the bounds and the share limits of the settings. */
     public WaitQueue(AdmissionSettings settings) {
@@ -51,7 +53,7 @@
         this.deficits = new AccountDeficits(settings);
     }
 
-    /** Class of requests; requests of the same class are ordered by their objective and their account. */
+    /** Urgency of requests; equally urgent ones are ordered by their objective and their account. */
     private record Urgency(int accountPriority, int routePriority, boolean late) implements Comparable<Urgency> {
         private static final Comparator<Urgency> ORDER = Comparator.comparingInt(Urgency::accountPriority)
                 .thenComparingInt(Urgency::routePriority)
@@ -67,6 +69,16 @@
         }
     }
 
+    /** Requests that share places among each other: those of one urgency and objective. */
+    private record Kind(Urgency urgency, long objectiveNanoseconds) {
+        private static final Comparator<Kind> ORDER =
+                Comparator.comparing(Kind::urgency).thenComparingLong(Kind::objectiveNanoseconds);
+
+        static Kind of(WaitingRequest request, long now) {
+            return new Kind(Urgency.of(request, now), request.objectiveNanoseconds());
+        }
+    }
+
     private record Entry(WaitingRequest request, long waitsUntil) {}
 
     /** Returns the number of waiting requests. */
@@ -76,7 +88,7 @@
 
     /** Records that a target rejected a request because it is full. */
     public void recordRejection(long now) {
-        rejectedAt = now;
+        rejections.record(now);
     }
 
     /**
@@ -88,20 +100,21 @@
         if (places.targets() == 0) {
             return List.of(QueueDecision.admitted(request.id(), Reason.NO_TARGETS));
         }
-        if (places.free() > waiting.size()) {
+        if (places.free() > waiting.size() && request.earliestAt() <= now) {
             return List.of(admit(request, Reason.PLACE_FREE, now));
         }
-        long wait = usefulWait(request, places.completionsPerSecond(), now);
-        if (wait < 0) {
-            return List.of(QueueDecision.refused(request.id(), Reason.DEADLINE));
+        long expected = expectedWait(request, places.completionsPerSecond(), now);
+        if (cannotBeServed(request, expected, places, now)) {
+            return List.of(QueueDecision.refused(request.id(), Reason.DEADLINE, expected));
         }
+        long wait = usefulWait(request, expected, places, now);
         if (wait < MINIMUM_WAIT_NANOSECONDS) {
-            return List.of(endWait(request, now));
+            return List.of(endWait(request, places, now));
         }
-        return enqueue(new Entry(request, now + wait), now);
+        return enqueue(new Entry(request, now + wait), expected, now);
     }
 
-    private List<QueueDecision> enqueue(Entry entry, long now) {
+    private List<QueueDecision> enqueue(Entry entry, long expected, long now) {
         List<QueueDecision> decisions = new ArrayList<>();
         WaitingRequest request = entry.request();
         long ofAccount = waiting.stream()
@@ -119,7 +132,7 @@
             decisions.add(QueueDecision.refused(last.request().id(), Reason.DISPLACED));
         }
         waiting.add(entry);
-        decisions.add(QueueDecision.queued(request.id()));
+        decisions.add(QueueDecision.queued(request.id(), expected));
         return decisions;
     }
 
@@ -137,13 +150,17 @@
             waiting.clear();
             return decisions;
         }
-        for (int place = 0; place < Math.max(places.free(), completions) && !waiting.isEmpty(); place++) {
-            Entry next = next(now);
-            waiting.remove(next);
-            decisions.add(admit(next.request(), place < places.free() ? Reason.PLACE_FREE : Reason.COMPLETION, now));
+        for (int place = 0; place < Math.max(places.free(), completions); place++) {
+            Optional<Entry> next = next(now);
+            if (next.isEmpty()) {
+                break;
+            }
+            waiting.remove(next.get());
+            Reason reason = place < places.free() ? Reason.PLACE_FREE : Reason.COMPLETION;
+            decisions.add(admit(next.get().request(), reason, now));
         }
         for (Entry entry : remove(entry -> entry.waitsUntil() <= now)) {
-            decisions.add(endWait(entry.request(), now));
+            decisions.add(endWait(entry.request(), places, now));
         }
         return decisions;
     }
@@ -153,43 +170,50 @@
         return waiting.removeIf(entry -> entry.request().id() == id);
     }
 
-    /** Returns the time in nanoseconds after which the next wait ends, or -1 if no request waits. */
-    public long nanosecondsToNextEnd(long now) {
-        return waiting.stream()
-                .mapToLong(entry -> Math.max(0, entry.waitsUntil() - now))
-                .min()
-                .orElse(-1);
-    }
-
-    /** Returns the longest time for which it is useful to wait; negative if the deadline cannot be met. */
-    private long usefulWait(WaitingRequest request, double completionsPerSecond, long now) {
-        long untilObjective = request.spareForObjective(now);
-        long untilDeadline = request.spareForDeadline(now);
-        long fraction = Math.min(Math.max(0, (long) (untilObjective * WAIT_FRACTION)), Math.max(0, untilDeadline));
-        if (untilDeadline < 0) {
-            return -1;
-        }
+    /** Returns the time until the turn of the request at the observed rate, or -1 if no drain is observed. */
+    private long expectedWait(WaitingRequest request, double completionsPerSecond, long now) {
         if (completionsPerSecond <= 0) {
-            return fraction;
+            return -1;
         }
         Urgency urgency = Urgency.of(request, now);
         long ahead = waiting.stream()
                 .filter(entry -> Urgency.of(entry.request(), now).compareTo(urgency) <= 0)
                 .count();
-        long expected = (long) ((ahead + 1) / completionsPerSecond * NANOSECONDS_PER_SECOND);
-        if (expected > untilDeadline) {
-            return -1;
+        return (long) ((ahead + 1) / completionsPerSecond * NANOSECONDS_PER_SECOND);
+    }
+
+    /**
+     * Tells whether the deadline passes before the response by the usual time of the route alone, or with the wait if the
+     * targets' own queues are full. Without a drain nothing is known, and the usual time may be out of date.
+     */
+    private boolean cannotBeServed(WaitingRequest request, long expectedWait, Places places, long now) {
+        long wait = isRejecting(places, now) ? expectedWait : 0;
+        return expectedWait >= 0 && request.spareForDeadline(now) < wait;
+    }
+
+    /** Returns the longest time for which it is useful to wait. */
+    private long usefulWait(WaitingRequest request, long expectedWait, Places places, long now) {
+        long untilObjective = request.spareForObjective(now);
+        long untilDeadline = Math.max(0, request.spareForDeadline(now));
+        long fraction = Math.min(Math.max(0, (long) (untilObjective * WAIT_FRACTION)), untilDeadline);
+        if (expectedWait < 0 || !isRejecting(places, now)) {
+            return fraction;
         }
-        long tolerated = (long) (expected * WAIT_TOLERANCE);
-        return expected <= untilObjective
+        long tolerated = (long) (expectedWait * WAIT_TOLERANCE);
+        return expectedWait <= untilObjective
                 ? Math.max(fraction, Math.min(untilObjective, tolerated))
                 : Math.min(untilDeadline, tolerated);
     }
 
-    /** Sends a request whose wait is over to a target's own queue, unless the targets have rejected requests recently. */
-    private QueueDecision endWait(WaitingRequest request, long now) {
-        boolean rejecting = now - rejectedAt < REJECTION_MEMORY_NANOSECONDS;
-        return rejecting
+    /** Tells whether targets reject the requests of this instance at least as often as they complete them. */
+    private boolean isRejecting(Places places, long now) {
+        return rejections.events(now) >= MINIMUM_REJECTIONS
+                && rejections.uncertainPerSecond(now) >= places.completionsPerSecond();
+    }
+
+    /** Sends a request whose wait is over to a target's own queue, unless those are full as well. */
+    private QueueDecision endWait(WaitingRequest request, Places places, long now) {
+        return isRejecting(places, now)
                 ? QueueDecision.refused(request.id(), Reason.WAIT_OVER)
                 : admit(request, Reason.WAIT_OVER, now);
     }
@@ -199,26 +223,28 @@
         return QueueDecision.admitted(request.id(), reason);
     }
 
-    private Entry next(long now) {
-        Set<Urgency> classes =
-                waiting.stream().map(entry -> Urgency.of(entry.request(), now)).collect(Collectors.toSet());
-        passedOver.keySet().retainAll(classes);
-        Urgency mostUrgent = classes.stream().min(Comparator.naturalOrder()).orElseThrow();
-        Urgency chosen = passedOver.entrySet().stream()
+    private Optional<Entry> next(long now) {
+        List<Entry> ready = waiting.stream()
+                .filter(entry -> entry.request().earliestAt() <= now)
+                .toList();
+        Set<Kind> kinds =
+                ready.stream().map(entry -> Kind.of(entry.request(), now)).collect(Collectors.toSet());
+        passedOver.keySet().retainAll(kinds);
+        Optional<Kind> overdue = passedOver.entrySet().stream()
                 .filter(entry -> entry.getValue() >= MAXIMUM_PASSED_OVER)
-                .max(Map.Entry.<Urgency, Integer>comparingByValue()
-                        .thenComparing(
-                                Map.Entry.<Urgency, Integer>comparingByKey().reversed()))
-                .map(Map.Entry::getKey)
-                .orElse(mostUrgent);
-        passedOver.remove(chosen);
-        classes.stream()
-                .filter(other -> other.compareTo(chosen) > 0)
-                .forEach(other -> passedOver.merge(other, 1, Integer::sum));
-        return waiting.stream()
-                .filter(entry -> Urgency.of(entry.request(), now).equals(chosen))
-                .min(order(now))
-                .orElseThrow();
+                .max(Map.Entry.<Kind, Integer>comparingByValue()
+                        .thenComparing(Map.Entry::getKey, Kind.ORDER.reversed()))
+                .map(Map.Entry::getKey);
+        Optional<Entry> chosen = ready.stream()
+                .filter(entry ->
+                        overdue.isEmpty() || Kind.of(entry.request(), now).equals(overdue.get()))
+                .min(order(now));
+        chosen.map(entry -> Kind.of(entry.request(), now)).ifPresent(kind -> {
+            passedOver.remove(kind);
+            kinds.remove(kind);
+            kinds.forEach(other -> passedOver.merge(other, 1, Integer::sum));
+        });
+        return chosen;
     }
 
     private Comparator<Entry> order(long now) {
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/admission/WaitingRequest.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/admission/WaitingRequest.java
@@ -8,6 +8,7 @@
  * @param accountPriority priority of the client account; 0 is the highest
  * @param routePriority priority of the route; 0 is the highest
  * @param cost expected work, in a unit that is the same for all requests of the service
+ * @param earliestAt time before which it is not admitted, because targets have just rejected it several times
  * @param rankedAt time that ranks the request within its priority: its arrival, or that of the refused request of which
  *     it is a repeat
  * @param objectiveNanoseconds time from the arrival within which the response should start
@@ -22,6 +23,7 @@
         int accountPriority,
         int routePriority,
         double cost,
+        long earliestAt,
         long rankedAt,
         long objectiveNanoseconds,
         long objectiveAt,
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetPlaces.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetPlaces.java
@@ -24,7 +24,7 @@
         int accepting = 0;
         int free = 0;
         for (TargetState target : targets) {
-            if (!target.acceptsRequests(now)) {
+            if (!target.generates() || !target.acceptsRequests(now)) {
                 continue;
             }
             accepting++;
--- a/fireflywalk-core/src/test/java/io/fireflywalk/core/admission/WaitQueueTest.java
+++ b/fireflywalk-core/src/test/java/io/fireflywalk/core/admission/WaitQueueTest.java
@@ -37,6 +37,7 @@
                 accountPriority,
                 routePriority,
                 1,
+                0,
                 arrivedAt,
                 objective,
                 arrivedAt + objective,
@@ -92,14 +93,25 @@
 
     /**
      * Guards against holding a request that cannot be served in time, and against refusing one that can: 10 requests
-     * wait, and the instance's own requests complete at the given rate.
+     * wait, targets reject as many requests as they complete, or none, and the instance's own requests complete at the
+     * given rate.
      */
     @ParameterizedTest
-    @CsvSource({"3, REFUSED, 0", "5, QUEUED, 3100", "100, QUEUED, 220", "1000, QUEUED, 130"})
-    void drainRateDecidesWhetherAndHowLongARequestWaits(double rate, State state, long waitMilliseconds) {
+    @CsvSource({
+        "true, 3, REFUSED, 0",
+        "true, 5, QUEUED, 3100",
+        "true, 100, QUEUED, 220",
+        "true, 1000, QUEUED, 130",
+        "false, 3, QUEUED, 130"
+    })
+    void drainRateDecidesWhetherAndHowLongARequestWaits(
+            boolean rejecting, double rate, State state, long waitMilliseconds) {
         for (int id = 0; id < 10; id++) {
             offer(request(id, 0), places(0, 1e9));
         }
+        for (int rejection = 0; rejecting && rejection < 3 * rate; rejection++) {
+            queue.recordRejection(0);
+        }
         AdmissionDecision decision = offer(request(10, 0), places(0, rate)).outcome();
         assertEquals(state, decision.state());
         if (state == State.REFUSED) {
@@ -129,6 +141,16 @@
         assertEquals(List.of(5L, 3L, 2L, 1L, 4L), releaseAll(now));
     }
 
+    /** Guards against a request that is sent from one full target to the next without a pause. */
+    @Test
+    void requestIsNotAdmittedBeforeItsEarliestTime() {
+        WaitingRequest rejected =
+                new WaitingRequest(1, "a", 0, 0, 1, 50 * MILLISECOND, 0, OBJECTIVE, OBJECTIVE, DEADLINE, 0, 0);
+        assertEquals(State.QUEUED, offer(rejected, places(9, 0)).outcome().state());
+        assertTrue(queue.release(places(9, 0), 0, 50 * MILLISECOND - 1).isEmpty());
+        assertEquals(1, queue.release(places(9, 0), 0, 50 * MILLISECOND).size());
+    }
+
     /** Guards against a kind that gets no place for as long as a more urgent kind keeps the queue filled. */
     @Test
     void lessUrgentKindGetsANinthOfThePlacesDuringALongSurge() {
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestAdmission.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestAdmission.java
@@ -2,6 +2,7 @@
 
 import io.fireflywalk.core.admission.AdmissionDecision.State;
 import io.fireflywalk.core.admission.AdmissionSettings;
+import io.fireflywalk.core.admission.QueueDecision;
 import io.fireflywalk.core.admission.ResponseTimes.Times;
 import io.fireflywalk.core.admission.ReturnSchedule;
 import io.fireflywalk.core.admission.WaitingRequest;
@@ -30,6 +31,11 @@
     /** Spreads the return of callers that are refused while all targets want no requests. */
     private static final int RETURN_SPREAD_MILLISECONDS = 500;
 
+    /** Rejections in a row after which the estimate of free places is not trusted for a moment. */
+    private static final int TRUSTED_REJECTIONS = 2;
+    /** Pause after each further rejection; a target that rejects gets no request of this instance for 300 ms. */
+    private static final Duration REJECTION_PAUSE = Duration.ofMillis(50);
+
     private static final double TOKENS_PER_COST_UNIT = 1000;
     /** Cost of a request without tokens, and the least cost of one with tokens. */
     private static final double PLAIN_COST = 1;
@@ -54,6 +60,8 @@
     private long rankedAt;
     private boolean refused;
     private String reason = "-";
+    /** Expected wait that decided on the last entry; -1 if not known. */
+    private long expectedWaitNanoseconds = -1;
 
     RequestAdmission(
             IngressContext context,
@@ -90,7 +98,7 @@
         }
         entries++;
         enteredAt = context.timers().monotonicNanoseconds();
-        queue.enter(service, request(), () -> waiting = true, decision -> {
+        queue.enter(service, request(), this::startWait, decision -> {
             boolean waited = waiting;
             endWait();
             reason = decision.reason().code();
@@ -102,12 +110,19 @@
                 onAdmitted.run();
             } else {
                 refused = true;
+                expectedWaitNanoseconds = Math.max(expectedWaitNanoseconds, decision.expectedWaitNanoseconds());
                 context.metrics().count("queue_refusals_" + reason);
                 onRefused.accept(decision.outcome().refusal().get(), "all targets are full, queue decision " + reason);
             }
         });
     }
 
+    private void startWait(QueueDecision decision) {
+        waiting = true;
+        reason = decision.reason().code();
+        expectedWaitNanoseconds = decision.expectedWaitNanoseconds();
+    }
+
     /** Has the request wait again because no target could be chosen; returns false if it must fail instead. */
     boolean enterAgain(Runnable onAdmitted, BiConsumer<ErrorKind, String> onRefused) {
         if (!queue.enabled() || entries >= MAXIMUM_ENTRIES || !queue.hasTargets(service)) {
@@ -127,7 +142,8 @@
                 clientAccount.orElse(""),
                 queue.accountPriority(clientAccount.orElse("")),
                 route.priority(),
-                cost(),
+                entries > 1 ? 0 : cost(),
+                enteredAt + REJECTION_PAUSE.toNanos() * Math.max(0, attempts.rejections() - TRUSTED_REJECTIONS),
                 rankedAt,
                 objective,
                 arrivedAt + objective,
@@ -212,8 +228,13 @@
     String logFields() {
         return queue.enabled()
                 ? String.format(
-                        "queue=%s queue_entries=%d wait_ms=%d",
-                        reason, entries, Duration.ofNanos(waitedNanoseconds).toMillis())
+                        "queue=%s queue_entries=%d wait_ms=%d expected_wait_ms=%d",
+                        reason,
+                        entries,
+                        Duration.ofNanos(waitedNanoseconds).toMillis(),
+                        expectedWaitNanoseconds < 0
+                                ? -1
+                                : Duration.ofNanos(expectedWaitNanoseconds).toMillis())
                 : "";
     }
 }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestQueue.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestQueue.java
@@ -124,7 +124,11 @@
      *
      * @param onQueued runs first if the request has to wait
      */
-    void enter(String service, WaitingRequest request, Runnable onQueued, Consumer<QueueDecision> onDecision) {
+    void enter(
+            String service,
+            WaitingRequest request,
+            Consumer<QueueDecision> onQueued,
+            Consumer<QueueDecision> onDecision) {
         Optional<ServiceQueue> found = service(service);
         if (!enabled || found.isEmpty()) {
             onDecision.accept(QueueDecision.admitted(request.id(), Reason.PLACE_FREE));
@@ -135,9 +139,10 @@
         long now = timers.monotonicNanoseconds();
         List<QueueDecision> decisions = ofService.queue.offer(request, places(service), now);
         ofService.waiters.put(request.id(), onDecision);
-        if (decisions.get(decisions.size() - 1).outcome().state() == State.QUEUED) {
+        QueueDecision own = decisions.get(decisions.size() - 1);
+        if (own.outcome().state() == State.QUEUED) {
             metrics.count("queue_waits");
-            onQueued.run();
+            onQueued.accept(own);
             startTimer();
         }
         apply(ofService, decisions);
