--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressContext.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressContext.java
@@ -7,6 +7,7 @@
 import io.fireflywalk.core.ingress.RequestDescription;
 import io.fireflywalk.services.time.TimerService;
 import io.vertx.core.http.HttpClient;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 
@@ -28,6 +29,8 @@
         TargetCrashDetector crashDetector,
         PromptQuarantine promptQuarantine,
         RetryBudgets retryBudgets,
+        RequestQueue requestQueue,
+        Set<DeploymentFeature> features,
         UsageCounter usageCounter,
         QuotaExchange quotas,
         IngressMetrics metrics,
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import io.fireflywalk.core.admission.CompletionRates;
 import io.fireflywalk.core.ingress.ArrivedWorkCounter;
 import io.fireflywalk.core.ingress.BodyMemory;
 import io.fireflywalk.core.ingress.PromptPlacement;
@@ -10,6 +11,7 @@
 import io.fireflywalk.core.ingress.ServiceProfile;
 import io.fireflywalk.core.ingress.ServiceProfile.EngineProfile;
 import io.fireflywalk.core.ingress.TargetPicker;
+import io.fireflywalk.core.ingress.TargetPlaces;
 import io.fireflywalk.core.ingress.WorkBasedPicker;
 import io.fireflywalk.daemon.ingress.FleetStore.Table;
 import io.fireflywalk.daemon.ingress.TargetCrashDetector.Connector;
@@ -126,8 +128,7 @@
         this.coordinator = new FleetCoordinator(settings, store, timers, random);
         this.peerConfiguration = new PeerConfigurationSync(
                 vertx, settings, timers, random, configuration, configurationWatcher, coordinator);
-        UsageCounter usageCounter =
-                new UsageCounter(timers, 1000L * settings.bounds().usageWindowSeconds());
+        UsageCounter usageCounter = createUsageCounter(settings, timers);
         this.usageReporter =
                 new IngressUsageReporter(settings, store, platform.controlPlane(), usageCounter, coordinator, timers);
         PromptPlacement promptPlacement = new PromptPlacement(RunnerLatencyModel.defaults(), random);
@@ -155,6 +156,7 @@
         this.eventLoopMonitor = new EventLoopMonitor(timers, metrics);
         TargetConnectionTracker targetConnections = new TargetConnectionTracker(
                 timers, metrics, platform.targetProtocol().attemptIdentifierHeader());
+        RequestQueue requestQueue = createRequestQueue(platform, random, metrics);
         IngressContext context = new IngressContext(
                 settings,
                 timers,
@@ -172,6 +174,8 @@
                 crashDetector,
                 promptQuarantine,
                 new RetryBudgets(settings.bounds(), timers, coordinator::instanceCount),
+                requestQueue,
+                platform.features(),
                 usageCounter,
                 quotas,
                 metrics,
@@ -179,7 +183,7 @@
                 bodyMemory,
                 () -> draining);
         this.server = new IngressServer(vertx, context, this::requestsPerTarget);
-        registerGauges(bodyMemory);
+        registerGauges(bodyMemory, requestQueue);
     }
 
     private ArrivedWorkExchange createArrivedWork(
@@ -222,10 +226,11 @@
                 settings.instance().availabilityZone());
     }
 
-    private void registerGauges(BodyMemory bodyMemory) {
+    private void registerGauges(BodyMemory bodyMemory, RequestQueue requestQueue) {
         registry.register("body_bytes_held", (Gauge<Long>) bodyMemory::heldBytes);
         registry.register("body_bytes_maximum", (Gauge<Long>) bodyMemory::maximumBytes);
         registry.register("bodies_waiting", (Gauge<Integer>) bodyMemory::waitingBodies);
+        registry.register("requests_waiting", (Gauge<Integer>) requestQueue::waiting);
         registry.register("configuration_version", (Gauge<Long>) configuration::version);
         registry.register("targets", (Gauge<Integer>) directory::size);
         registry.register("instances", (Gauge<Integer>) coordinator::instanceCount);
@@ -236,6 +241,30 @@
                 "lease_held", (Gauge<Integer>) () -> coordinator.fencingToken().isPresent() ? 1 : 0);
     }
 
+    private static UsageCounter createUsageCounter(IngressSettings settings, TimerService timers) {
+        return new UsageCounter(
+                timers,
+                Duration.ofSeconds(settings.bounds().usageWindowSeconds()).toMillis());
+    }
+
+    private RequestQueue createRequestQueue(IngressPlatform platform, RandomGenerator random, IngressMetrics metrics) {
+        CompletionRates completionRates = new CompletionRates();
+        return new RequestQueue(
+                platform.features().contains(DeploymentFeature.CONTENTION),
+                timers,
+                random,
+                directory,
+                (service, now) -> TargetPlaces.of(
+                        directory.forService(service),
+                        requestsPerTarget(service),
+                        completionRates.perSecond(service, now),
+                        now),
+                completionRates,
+                // The configuration states no priorities of accounts yet.
+                account -> AccountPriorities.DEFAULT,
+                metrics);
+    }
+
     private static HttpClient createTargetClient(Vertx vertx, TargetConnectionTracker connections) {
         return vertx.httpClientBuilder()
                 .with(new HttpClientOptions()
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetExchange.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetExchange.java
@@ -232,6 +232,9 @@
             target.recordSuccess();
             long now = context.timers().monotonicNanoseconds();
             work.ifPresent(expected -> context.targetChooser().recordTime(target, expected, now - startedAt, now));
+            if (target.generates()) {
+                context.requestQueue().recordCompletion(target.entry().service());
+            }
         }
     }
 
