--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TableWatcher.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TableWatcher.java
@@ -81,7 +81,7 @@
     /** Receives the changes that this watcher reads itself. */
     interface ReadObserver {
 
-        /** Called after changes have been applied; {@code after} is the version that they follow. */
+        /** Called after changes have been applied; {@code after} is the version of the table's change before them. */
         void onRead(long after, List<FleetRow> rows);
     }
 
@@ -308,7 +308,8 @@
                 LOG.infof("event=store_history_lost table=%s version=%d", table, version);
                 return readAll("", new ArrayList<>(), -1);
             }
-            long after = version;
+            // Versions also count the changes of other tables, of which the receivers of a relay hear later.
+            long after = changedVersion;
             List<FleetRow> newer = applyNewer(found.rows());
             version = Math.max(version, found.version());
             if (!newer.isEmpty()) {
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/TableWatcherTest.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/TableWatcherTest.java
@@ -119,6 +119,21 @@
         assertTrue(watcher.timeSinceRecovery().compareTo(Duration.ofSeconds(5)) > 0);
     }
 
+    @Test
+    void relayedChangesFollowTheLastChangeOfTheTableNotThatOfAnother() {
+        put("a");
+        List<Long> relayedAfter = new ArrayList<>();
+        watcher.useRelay(() -> true, (after, rows) -> relayedAfter.add(after));
+        watcher.start();
+        store.commit(RowTransaction.empty().withWrite(Table.COORDINATION, "other", Buffer.buffer("value")))
+                .test()
+                .assertComplete();
+        advanceTime(250);
+        put("b");
+        advanceTime(250);
+        assertEquals(List.of(1L), relayedAfter);
+    }
+
     /** Changes of the store up to its present version, as an instance that reads relays them. */
     private TableWatcher.RelayedChanges relayed(long after, long version, String... keys) {
         List<FleetRow> rows = Stream.of(keys)
