--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/FleetDemand.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/FleetDemand.java
@@ -134,7 +134,8 @@
                 : sorted.get(Math.max(0, (int) Math.ceil((1 - EXCEEDING_FRACTION) * sorted.size()) - 1));
         double mean = samples.stream().mapToDouble(work).average().orElse(0);
         ArrivedWork.Kind sum = samples.stream().map(kind).reduce(ArrivedWork.Kind.NONE, ArrivedWork.Kind::plus);
-        double peak = Math.max(high, SURGE_FACTOR * mean);
+        // The mean of a few seconds is that of one wave, which would be taken for the base of a surge.
+        double peak = samples.size() < PEAK_WINDOW ? high : Math.max(high, SURGE_FACTOR * mean);
         return sum.milliseconds() > 0 ? sum.times(peak / sum.milliseconds()) : ArrivedWork.Kind.NONE;
     }
 }
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/FleetSize.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/FleetSize.java
@@ -46,7 +46,12 @@
     /** Smaller differences are not worth the seconds that a runner needs to change its stage. */
     private static final double MINIMUM_FRACTION_CHANGE = 0.08;
 
-    private static final long FRACTION_INTERVAL_NANOSECONDS = 9_000_000_000L;
+    /** Largest difference per change, because the runners that change their stage serve nothing meanwhile. */
+    private static final double MAXIMUM_FRACTION_CHANGE = 0.1;
+
+    private static final long FRACTION_INTERVAL_NANOSECONDS = 6_000_000_000L;
+    /** Seconds under load after which the work of both kinds is compared: at least one wave. */
+    private static final int COMPARED_SECONDS = 3;
 
     private final int baselineTargets;
     private final long startedAt;
@@ -83,12 +88,13 @@
             this.changedAt = now;
         }
 
-        private void follow(int wanted, boolean mayFall, long now) {
-            latest.addLast(wanted);
+        private void follow(int measured, int minimum, boolean mayFall, long now) {
+            latest.addLast(measured);
             if (latest.size() > FALL_WINDOW) {
                 latest.removeFirst();
             }
-            int largest = Collections.max(latest);
+            int wanted = Math.max(measured, minimum);
+            int largest = Math.max(Collections.max(latest), minimum);
             boolean worthOrder = value - largest > Math.max(1, MINIMUM_STEP_DOWN_FRACTION * value);
             if (wanted > value) {
                 value = wanted;
@@ -178,16 +184,10 @@
         double needed = slowPrefill * prefillNeeded + decodeNeeded;
         int required = Math.max(baselineTargets, (int) Math.ceil(needed));
         int wanted = Math.max(baselineTargets, (int) Math.ceil(zoneLossFactor(facts) * needed));
-        if (basis == Basis.UNMEASURED) {
-            required = Math.max(required, unmeasuredTargets);
-            wanted = Math.max(wanted, initialTargets);
-        } else if (basis == Basis.TOTALS_MISSING) {
-            required = Math.max(required, (int) Math.ceil(CONSTANT_REGULAR_FACTOR * baselineTargets));
-            wanted = Math.max(wanted, constantTargets(facts.preemptible()));
-        }
-        targetLevel.follow(wanted, basis == Basis.MEASURED, now);
-        requiredLevel.follow(required, basis == Basis.MEASURED, now);
-        if (basis == Basis.MEASURED) {
+        boolean mayFall = basis == Basis.MEASURED;
+        targetLevel.follow(wanted, minimumTargets(basis, facts), mayFall, now);
+        requiredLevel.follow(required, minimumRequired(basis), mayFall, now);
+        if (basis != Basis.TOTALS_MISSING && measuredSeconds >= COMPARED_SECONDS) {
             followFraction(slowPrefill * prefillNeeded, decodeNeeded, now);
         }
         return new Decision(
@@ -200,6 +200,22 @@
                 measuredSeconds > 0 ? Optional.of(demand) : Optional.empty());
     }
 
+    private int minimumTargets(Basis basis, Facts facts) {
+        return switch (basis) {
+            case UNMEASURED -> initialTargets;
+            case MEASURED -> baselineTargets;
+            case TOTALS_MISSING -> constantTargets(facts.preemptible());
+        };
+    }
+
+    private int minimumRequired(Basis basis) {
+        return switch (basis) {
+            case UNMEASURED -> unmeasuredTargets;
+            case MEASURED -> baselineTargets;
+            case TOTALS_MISSING -> constantTargets(false);
+        };
+    }
+
     private int constantTargets(boolean preemptible) {
         return (int) Math.ceil(baselineTargets * (preemptible ? CONSTANT_PREEMPTIBLE_FACTOR : CONSTANT_REGULAR_FACTOR));
     }
@@ -257,7 +273,9 @@
         }
         double wanted = Math.max(MINIMUM_PREFILL_FRACTION, Math.min(MAXIMUM_PREFILL_FRACTION, prefillNeeded / total));
         if (Math.abs(wanted - prefillFraction) >= MINIMUM_FRACTION_CHANGE) {
-            prefillFraction = wanted;
+            prefillFraction = Math.max(
+                    prefillFraction - MAXIMUM_FRACTION_CHANGE,
+                    Math.min(prefillFraction + MAXIMUM_FRACTION_CHANGE, wanted));
             fractionChangedAt = now;
         }
     }
