--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/ArrivedWorkCounter.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/ArrivedWorkCounter.java
@@ -11,10 +11,8 @@
  * Counts the work that arrives at this instance, by service, whether or not a target accepts it. Not thread-safe.
  */
 public final class ArrivedWorkCounter {
-    /** Duration of a step of a decode runner, which generates one token of each of its streams. */
-    private static final double STEP_MILLISECONDS = 4.5;
-    /** Streams that share a step of a decode runner on average; with fewer, the runner is idle most of the time. */
-    private static final double STREAMS_PER_STEP = 4;
+    /** Streams that a decode runner generates at a time on average; with fewer, it is idle most of the time. */
+    private static final double CONCURRENT_STREAMS = 4;
     /** Age of the latest response after which the load of a target is not known well enough. */
     private static final long LOAD_LIFETIME_NANOSECONDS = 1_000_000_000L;
     /** Bounds the memory if a configuration names very many services; all totals then start again. */
@@ -39,32 +37,29 @@
      * @param prefillFactor learned prefill time as a multiple of the latency model's
      */
     public void countLongPrompt(
-            String service,
-            PromptSummary prompt,
-            int generatedTokens,
-            double objectiveMilliseconds,
-            double prefillFactor) {
+            String service, PromptSummary prompt, double objectiveMilliseconds, double prefillFactor) {
         double prefill =
                 prefillFactor * latencyModel.prefillMilliseconds(prompt.ownTokens(), prompt.sharedTokens(), false);
-        add(
-                service,
-                new ArrivedWork(
-                        new Kind(1, prefill, objectiveMilliseconds),
-                        new Kind(0, generationMilliseconds(generatedTokens), 0),
-                        Load.NONE,
-                        Load.NONE));
+        add(service, new ArrivedWork(new Kind(1, prefill, objectiveMilliseconds), Kind.NONE, Load.NONE, Load.NONE));
     }
 
     /** Counts a prompt whose prefill takes place at a decode runner. */
-    public void countShortPrompt(
-            String service, int promptTokens, int generatedTokens, double objectiveMilliseconds, double prefillFactor) {
+    public void countShortPrompt(String service, int promptTokens, double objectiveMilliseconds, double prefillFactor) {
         // The model's overhead per prompt was measured with long prompts and exceeds the whole prefill of a short one.
         double prefill =
                 prefillFactor * latencyModel.decodePrefillFactor() * promptTokens / latencyModel.tokensPerMillisecond();
-        double milliseconds = prefill + generationMilliseconds(generatedTokens);
-        add(
-                service,
-                new ArrivedWork(Kind.NONE, new Kind(1, milliseconds, objectiveMilliseconds), Load.NONE, Load.NONE));
+        add(service, new ArrivedWork(Kind.NONE, new Kind(1, prefill, objectiveMilliseconds), Load.NONE, Load.NONE));
+    }
+
+    /**
+     * Counts the generation of a response that has ended. The number of tokens that a caller allows tells little: most
+     * responses are far shorter, and a step may generate several tokens.
+     *
+     * @param milliseconds time from the first to the last event
+     */
+    public void countGeneration(String service, double milliseconds) {
+        double work = Math.max(0, milliseconds) / CONCURRENT_STREAMS;
+        add(service, new ArrivedWork(Kind.NONE, new Kind(0, work, 0), Load.NONE, Load.NONE));
     }
 
     /** Counts the part of a prefill that exceeds the prompt's own tokens: its shared part, which was not cached. */
@@ -94,10 +89,6 @@
         add(service, new ArrivedWork(Kind.NONE, Kind.NONE, prefill, decode));
     }
 
-    private static double generationMilliseconds(int generatedTokens) {
-        return generatedTokens * STEP_MILLISECONDS / STREAMS_PER_STEP;
-    }
-
     private void add(String service, ArrivedWork work) {
         if (totals.size() >= MAXIMUM_SERVICES && !totals.containsKey(service)) {
             totals.clear();
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/ArrivedWorkExchange.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/ArrivedWorkExchange.java
@@ -94,10 +94,16 @@
         double objective = (double) route.latencyObjective().toMillis();
         double factor = promptPlacement.prefillFactor(service);
         if (route.kind() == RequestKind.STREAMING && description.promptTokens() >= LONG_PROMPT_TOKENS) {
-            counter.countLongPrompt(service, prompt, description.maximumGeneratedTokens(), objective, factor);
+            counter.countLongPrompt(service, prompt, objective, factor);
         } else {
-            counter.countShortPrompt(
-                    service, description.promptTokens(), description.maximumGeneratedTokens(), objective, factor);
+            counter.countShortPrompt(service, description.promptTokens(), objective, factor);
+        }
+    }
+
+    /** Counts the generation of a stream that has ended. */
+    void countGeneration(String service, Duration duration) {
+        if (demandBased.test(service)) {
+            counter.countGeneration(service, duration.toNanos() / 1e6);
         }
     }
 
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestForwarder.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestForwarder.java
@@ -387,6 +387,7 @@
     private void onCompleteResponse(TargetExchange exchange, int status) {
         exchange.complete(true);
         quarantine.onAnswer();
+        context.arrivedWork().countGeneration(service, caller.elapsed().minusMillis(firstByteMilliseconds));
         finish("answered", status, true, "");
         caller.endStream();
     }
