--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/FleetFollowingDemandTest.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/FleetFollowingDemandTest.java
@@ -3,20 +3,13 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.codahale.metrics.MetricRegistry;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.fireflywalk.core.error.FireflywalkException;
-import io.fireflywalk.core.ingress.ArrivedWorkCounter;
-import io.fireflywalk.core.ingress.CallerLimits;
 import io.fireflywalk.core.ingress.HostRoute;
 import io.fireflywalk.core.ingress.PromptPart;
-import io.fireflywalk.core.ingress.PromptPlacement;
 import io.fireflywalk.core.ingress.RequestDescription;
 import io.fireflywalk.core.ingress.RequestKind;
-import io.fireflywalk.core.ingress.RoutingConfiguration;
-import io.fireflywalk.core.ingress.RunnerLatencyModel;
-import io.fireflywalk.core.ingress.ServiceProfile;
-import io.fireflywalk.core.ingress.TargetEntry;
+import io.fireflywalk.core.ingress.ServiceProfile.ScalingProfile;
 import io.fireflywalk.daemon.ingress.FleetCoordinator.Peer;
 import io.fireflywalk.daemon.ingress.FleetStore.FleetRow;
 import io.fireflywalk.services.codec.Codec;
@@ -47,7 +40,8 @@
  */
 class FleetFollowingDemandTest {
     private static final int BASELINE = 12;
-    private static final Map<String, Double> PRICES = Map.of("zone-a", 1.0, "zone-b", 1.1, "zone-c", 1.2);
+    private static final RowDecoder DECODER = new FleetScalerTest.Decoder(
+            new ScalingProfile(1, 40, Optional.of(0.22), Map.of("zone-a", 1.0, "zone-b", 1.1, "zone-c", 1.2)), true);
     private static final HostRoute ROUTE = new HostRoute(
             "route",
             "host",
@@ -117,37 +111,10 @@
         instances.values().forEach(instance -> instance.directory.onChanges(List.of(row)));
     }
 
-    /** Reads the zone and kind of a target from its name. */
-    private static final class Decoder implements RowDecoder {
-        @Override
-        public String configurationKey() {
-            return "config";
-        }
-
-        @Override
-        public RoutingConfiguration configuration(Buffer value) {
-            ServiceProfile service = new ServiceProfile(
-                    "service",
-                    100,
-                    Optional.of(new ServiceProfile.EngineProfile(12, 400_000)),
-                    Optional.of(new ServiceProfile.ScalingProfile(1, 40, Optional.of(0.22), PRICES)));
-            CallerLimits limits = new CallerLimits(1000, Duration.ofSeconds(1), Duration.ofSeconds(1));
-            return new RoutingConfiguration(1, List.of(), List.of(service), Map.of(), true, limits);
-        }
-
-        @Override
-        public TargetEntry target(String key, Buffer value) {
-            boolean preemptible = key.contains("preemptible");
-            TargetEntry.Stage stage = key.hashCode() % 2 == 0 ? TargetEntry.Stage.PREFILL : TargetEntry.Stage.DECODE;
-            return new TargetEntry(
-                    key, "service", "10.0.0.1", 80, key.substring(0, 6), 12, false, preemptible, stage, 1, 1);
-        }
-    }
-
     /** An instance whose messages arrive at once, or not at all. */
     private final class Instance implements PeerMessenger {
         private final TargetDirectory directory =
-                new TargetDirectory(new Decoder(), timers, () -> Duration.ofMinutes(1), service -> 1000);
+                new TargetDirectory(DECODER, timers, () -> Duration.ofMinutes(1), service -> 1000);
         private final FleetCoordinator coordinator;
         private final ArrivedWorkExchange arrivedWork;
         private final FleetScaler scaler;
@@ -156,22 +123,11 @@
         private Instance(String name) {
             IngressSettings settings = FleetCoordinatorTest.settings(name);
             coordinator = new FleetCoordinator(settings, store, timers, new Random(name.hashCode()));
-            ConfigurationHolder configuration = new ConfigurationHolder(new Decoder());
+            ConfigurationHolder configuration = new ConfigurationHolder(DECODER);
             configuration.applyIfNewer(Buffer.buffer("configuration"), "test");
-            IngressMetrics metrics = new IngressMetrics(new MetricRegistry());
-            RunnerLatencyModel model = RunnerLatencyModel.defaults();
-            arrivedWork = new ArrivedWorkExchange(
-                    settings,
-                    this,
-                    coordinator,
-                    configuration,
-                    directory,
-                    new PromptPlacement(model, new Random(1)),
-                    new ArrivedWorkCounter(model),
-                    service -> true,
-                    timers,
-                    metrics);
-            DemandPlanner planner = new DemandPlanner(arrivedWork, metrics, timers);
+            arrivedWork =
+                    FleetScalerTest.arrivedWork(settings, this, coordinator, configuration, directory, timers, true);
+            DemandPlanner planner = new DemandPlanner(arrivedWork, FleetScalerTest.METRICS, timers);
             TargetCommands commands = (holder, target, stage) -> Single.just(true);
             scaler = new FleetScaler(
                     settings, store, new Platform(), commands, coordinator, configuration, directory, planner, timers);
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/FleetScalerTest.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/FleetScalerTest.java
@@ -10,6 +10,7 @@
 import io.fireflywalk.core.ingress.RoutingConfiguration;
 import io.fireflywalk.core.ingress.RunnerLatencyModel;
 import io.fireflywalk.core.ingress.ServiceProfile;
+import io.fireflywalk.core.ingress.ServiceProfile.EngineProfile;
 import io.fireflywalk.core.ingress.ServiceProfile.ScalingProfile;
 import io.fireflywalk.core.ingress.TargetEntry;
 import io.fireflywalk.core.ingress.TargetEntry.Stage;
@@ -34,11 +35,12 @@
 
 /** Guards against a fleet that stays too small, and against scaling calls that are reverted before they take effect. */
 class FleetScalerTest {
+    static final IngressMetrics METRICS = new IngressMetrics(new MetricRegistry());
     private static final ScalingProfile SCALING =
             new ScalingProfile(1, 6, Optional.of(0.2), Map.of("zone-a", 1.0, "zone-b", 1.1));
 
     /** Derives the zone and kind of a target from its name, such as {@code zone-a/preemptible/3}. */
-    private static final RowDecoder DECODER = new RowDecoder() {
+    record Decoder(ScalingProfile scaling, boolean staged) implements RowDecoder {
         @Override
         public String configurationKey() {
             return "config";
@@ -46,10 +48,11 @@
 
         @Override
         public RoutingConfiguration configuration(Buffer value) throws FireflywalkException {
+            Optional<EngineProfile> engine = staged ? Optional.of(new EngineProfile(12, 400_000)) : Optional.empty();
             return new RoutingConfiguration(
                     1,
                     List.of(),
-                    List.of(new ServiceProfile("service", 100, Optional.empty(), Optional.of(SCALING))),
+                    List.of(new ServiceProfile("service", 100, engine, Optional.of(scaling))),
                     Map.of(),
                     true,
                     new CallerLimits(1000, Duration.ofSeconds(1), Duration.ofSeconds(1)));
@@ -57,6 +60,7 @@
 
         @Override
         public TargetEntry target(String key, Buffer value) {
+            Stage stage = key.hashCode() % 2 == 0 ? Stage.PREFILL : Stage.DECODE;
             return new TargetEntry(
                     key,
                     "service",
@@ -66,11 +70,13 @@
                     8,
                     false,
                     key.contains("preemptible"),
-                    Stage.WHOLE,
+                    staged ? stage : Stage.WHOLE,
                     1,
                     1);
         }
-    };
+    }
+
+    private static final RowDecoder DECODER = new Decoder(SCALING, false);
 
     private final TestScheduler scheduler = new TestScheduler();
     private final TimerService timers = new SchedulerTimerService(scheduler);
@@ -103,6 +109,8 @@
         coordinator.start();
         registerTargets("zone-a/regular", 2);
         registerTargets("zone-b/regular", 2);
+        ArrivedWorkExchange arrivedWork =
+                arrivedWork(settings, new PeerDatagrams(null), coordinator, configuration, directory, timers, false);
         new FleetScaler(
                         settings,
                         store,
@@ -111,29 +119,32 @@
                         coordinator,
                         configuration,
                         directory,
-                        new DemandPlanner(
-                                arrivedWork(settings, coordinator, configuration),
-                                new IngressMetrics(new MetricRegistry()),
-                                timers),
+                        new DemandPlanner(arrivedWork, METRICS, timers),
                         timers)
                 .start();
         advanceTime(12_000);
     }
 
-    private ArrivedWorkExchange arrivedWork(
-            IngressSettings settings, FleetCoordinator coordinator, ConfigurationHolder configuration) {
+    static ArrivedWorkExchange arrivedWork(
+            IngressSettings settings,
+            PeerMessenger messenger,
+            FleetCoordinator coordinator,
+            ConfigurationHolder configuration,
+            TargetDirectory directory,
+            TimerService timers,
+            boolean demandBased) {
         RunnerLatencyModel model = RunnerLatencyModel.defaults();
         return new ArrivedWorkExchange(
                 settings,
-                new PeerDatagrams(null),
+                messenger,
                 coordinator,
                 configuration,
                 directory,
                 new PromptPlacement(model, new Random(1)),
                 new ArrivedWorkCounter(model),
-                service -> false,
+                service -> demandBased,
                 timers,
-                new IngressMetrics(new MetricRegistry()));
+                METRICS);
     }
 
     private void registerTargets(String kind, int count) {
