--- a/fireflywalk-core/src/test/java/io/fireflywalk/core/admission/WaitQueueTest.java
+++ b/fireflywalk-core/src/test/java/io/fireflywalk/core/admission/WaitQueueTest.java
@@ -29,21 +29,9 @@
         return new Places(4, free, rate);
     }
 
-    private static WaitingRequest request(
-            long id, String account, int accountPriority, int routePriority, long arrivedAt, long objective) {
-        return new WaitingRequest(
-                id,
-                account,
-                accountPriority,
-                routePriority,
-                1,
-                0,
-                arrivedAt,
-                objective,
-                arrivedAt + objective,
-                arrivedAt + DEADLINE,
-                0,
-                0);
+    private static WaitingRequest request(long id, String account, int priority, int route, long at, long objective) {
+        long due = at + objective;
+        return new WaitingRequest(id, account, priority, route, 1, 0, at, objective, due, at + DEADLINE, 0, 0);
     }
 
     private static WaitingRequest request(long id, long arrivedAt) {
