--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
@@ -81,6 +81,7 @@
     private final StoreRelay storeRelay;
     private final PromptQuarantine promptQuarantine;
     private final EventLoopMonitor eventLoopMonitor;
+    private final TargetChooser targetChooser;
     private final IngressServer server;
     private boolean draining;
 
@@ -155,6 +156,7 @@
         this.eventLoopMonitor = new EventLoopMonitor(timers, metrics);
         TargetConnectionTracker targetConnections = new TargetConnectionTracker(
                 timers, metrics, platform.targetProtocol().attemptIdentifierHeader());
+        this.targetChooser = createTargetChooser(platform, promptPlacement, metrics, random);
         IngressContext context = new IngressContext(
                 settings,
                 timers,
@@ -165,7 +167,7 @@
                 platform.targetProtocol(),
                 configuration,
                 directory,
-                createTargetChooser(platform, promptPlacement, metrics, random),
+                targetChooser,
                 promptPlacement,
                 placementBroadcaster,
                 crashDetector,
@@ -182,13 +184,16 @@
 
     private TargetChooser createTargetChooser(
             IngressPlatform platform, PromptPlacement promptPlacement, IngressMetrics metrics, RandomGenerator random) {
+        String zone = settings.instance().availabilityZone();
         return new TargetChooser(
                 new TargetPicker(random),
                 new WorkBasedPicker(random),
                 promptPlacement,
                 new ServiceLoads(platform.features().contains(DeploymentFeature.CONTENTION)),
+                new LoadReportExchange(datagrams, coordinator::peers, zone, timers, random, metrics),
+                directory,
                 metrics,
-                settings.instance().availabilityZone());
+                zone);
     }
 
     private void registerGauges(BodyMemory bodyMemory) {
@@ -253,6 +258,7 @@
         storeRelay.start();
         promptQuarantine.start();
         eventLoopMonitor.start();
+        targetChooser.start();
         String readiness = settings.listen().readiness();
         String callers = settings.listen().callers();
         String host = settings.instance().host();
