--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/CostModel.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/CostModel.java
@@ -17,6 +17,11 @@
     /** Time of a generated token on the engines' data sheet, relative to the prefill times of the latency model. */
     private static final double MILLISECONDS_PER_GENERATED_TOKEN = 12;
 
+    /** Low, because the prior is a guess, which the first observations replace. */
+    private static final double PRIOR_WEIGHT = 0.2;
+    /** Number of observations after which the time of a request tells more about its target than about its route. */
+    private static final double KNOWN_WEIGHT = 5;
+
     private static final double MINIMUM_MILLISECONDS = 1;
     private static final double MAXIMUM_MILLISECONDS = 60_000;
 
@@ -57,12 +62,18 @@
             if (ratios.size() >= MAXIMUM_ROUTES) {
                 ratios.remove(ratios.keySet().iterator().next());
             }
-            ratio = new DecayingAverage(1, 1, 1, HALF_LIFE_MILLISECONDS);
+            ratio = new DecayingAverage(1, 1, PRIOR_WEIGHT, HALF_LIFE_MILLISECONDS);
             ratios.put(cost.key(), ratio);
         }
         ratio.add(milliseconds / cost.modelMilliseconds(), now);
     }
 
+    /** Tells whether enough requests of the route have been observed to compare targets by their times. */
+    boolean known(RequestCost cost) {
+        DecayingAverage ratio = ratios.get(cost.key());
+        return ratio != null && ratio.weight() >= KNOWN_WEIGHT;
+    }
+
     /** Returns the standard deviation of a request's time. */
     double spreadMilliseconds(RequestCost cost) {
         DecayingAverage ratio = ratios.get(cost.key());
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/DecayingAverage.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/DecayingAverage.java
@@ -59,6 +59,11 @@
         return Math.max(0, meanSquare - mean * mean);
     }
 
+    /** Returns the weight of the values as of the latest one, of which each counted 1. */
+    double weight() {
+        return weight;
+    }
+
     boolean empty() {
         return weight == 0;
     }
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/ServiceLoads.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/ServiceLoads.java
@@ -79,7 +79,7 @@
 
     /**
      * Records the time of a request that a target has completed. A request that had to wait tells nothing about the time of
-     * work.
+     * work. Times of a route that is hardly known would make the targets that were used first look fast or slow.
      *
      * @param requestsAtStart number of requests at the target when the request was sent, as estimated then
      */
@@ -88,10 +88,11 @@
         if (requestsAtStart >= ServiceLoad.slots(target)) {
             return;
         }
-        TargetWork work = target.work();
-        double atReportedSpeed = milliseconds / work.reportedSlowdown();
-        work.recordFactor(atReportedSpeed / cost.expectedMilliseconds(), now);
-        costs.observe(cost, milliseconds / work.timeFactor(load(cost.service()).meanSlowdown(), now), now);
+        double atReportedSpeed = milliseconds / target.work().reportedSlowdown();
+        if (costs.known(cost)) {
+            target.work().recordFactor(atReportedSpeed / cost.expectedMilliseconds(), now);
+        }
+        costs.observe(cost, atReportedSpeed, now);
         load(cost.service()).recordServiceTime(atReportedSpeed, now);
     }
 
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetWork.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetWork.java
@@ -18,8 +18,12 @@
     private static final double SPREAD_WEIGHT = 0.3;
 
     /** Requests of one route differ among each other, so that one time tells little about the target. */
-    private static final double FACTOR_PRIOR_WEIGHT = 4;
+    private static final double FACTOR_PRIOR_WEIGHT = 8;
 
+    /** Bounds of the observed factor, which only corrects the reported slowdown. */
+    private static final double MINIMUM_OBSERVED_FACTOR = 0.5;
+
+    private static final double MAXIMUM_OBSERVED_FACTOR = 3;
     private static final double MINIMUM_FACTOR = 0.2;
     private static final double MAXIMUM_FACTOR = 8;
     /** Variance of the prior slowdown; 0.6 to 1.6 were seen. */
@@ -98,7 +102,7 @@
 
     /** Records the time that a request took as a multiple of the expected time at the reported slowdown. */
     void recordFactor(double factor, long now) {
-        observedFactor.add(bounded(factor), now);
+        observedFactor.add(Math.max(MINIMUM_OBSERVED_FACTOR, Math.min(MAXIMUM_OBSERVED_FACTOR, factor)), now);
     }
 
     /** Records whether the target answered a request without an error of its own. */
--- a/fireflywalk-core/src/test/java/io/fireflywalk/core/ingress/WorkBasedPickerTest.java
+++ b/fireflywalk-core/src/test/java/io/fireflywalk/core/ingress/WorkBasedPickerTest.java
@@ -9,6 +9,7 @@
 import io.fireflywalk.core.ingress.FleetLoadSimulation.Result;
 import io.fireflywalk.core.ingress.TargetEntry.Stage;
 import io.fireflywalk.core.ingress.WorkBasedPicker.WorkChoice;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -149,6 +150,33 @@
         assertEquals(expected, load.expectedWaitMilliseconds(targets, 7, 1), 1);
     }
 
+    /** All requests take a tenth of what was assumed: the target used first must not look faster than the others. */
+    @Test
+    void timesOfAnUnknownRouteDoNotMakeATargetLookFast() {
+        ServiceLoads loads = new ServiceLoads(true);
+        HostRoute route = new HostRoute(
+                "route",
+                "host",
+                "/",
+                RequestKind.IDEMPOTENT,
+                false,
+                true,
+                Duration.ofSeconds(3),
+                Duration.ofMillis(340),
+                2,
+                0,
+                List.of());
+        RequestDescription description = new RequestDescription("id", Optional.empty(), List.of(), 0, 0);
+        for (int time = 0; time < 40; time++) {
+            RequestCost cost = loads.cost(route, "service", description, false);
+            loads.recordTime(targets.get(time < 20 ? 0 : 1), cost, 0, 13.6, time * REPORT_PERIOD);
+        }
+        long now = 40 * REPORT_PERIOD;
+        assertEquals(13.6, loads.cost(route, "service", description, false).expectedMilliseconds(), 2);
+        assertEquals(
+                targets.get(1).work().timeFactor(1, now), targets.get(0).work().timeFactor(1, now), 0.1);
+    }
+
     @Test
     void noTargetMeansNoPlaceAndNoEndOfTheWait() {
         assertEquals(0, load.freePlaces(List.of(), 1));
