--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/CostModel.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/CostModel.java
@@ -52,7 +52,11 @@
         DecayingAverage ratio = ratios.get(key);
         double expected = model * (ratio == null ? 1 : ratio.mean());
         return new RequestCost(
-                key, service, model, Math.max(MINIMUM_MILLISECONDS, Math.min(MAXIMUM_MILLISECONDS, expected)));
+                key,
+                service,
+                model,
+                Math.max(MINIMUM_MILLISECONDS, Math.min(MAXIMUM_MILLISECONDS, expected)),
+                prefilled);
     }
 
     /** Records the time that a request would have taken at an idle target of usual speed. */
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/ServiceLoad.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/ServiceLoad.java
@@ -31,6 +31,12 @@
     private static final double REPORT_VARIANCE = 0.25;
     /** Each request at a target changes its number of requests twice within its time, when it arrives and when it ends. */
     private static final double CHANGES_PER_TIME = 2;
+    /** Slots that become free before a target which has rejected a request gets another one. */
+    private static final double FREED_SLOTS = 2;
+    /** A request that was rejected is sent again within a few milliseconds, which must not go to the same target. */
+    private static final double MINIMUM_FULL_MILLISECONDS = 20;
+
+    private static final double MAXIMUM_FULL_MILLISECONDS = 100;
     /** Queue of a target, as a multiple of its slots, until one has rejected a request. */
     private static final double INITIAL_QUEUE_PER_SLOT = 3;
     /** Scale at which ln(1 + e^x) approximates the expected excess of a normal variable of standard deviation 1. */
@@ -86,6 +92,12 @@
 
     // Queries
 
+    /** Returns the expected time until some slots of a full target are free. */
+    double slotMilliseconds(TargetState target, long now) {
+        double perSlot = serviceMilliseconds() * target.work().timeFactor(meanSlowdown(), now) / slots(target);
+        return Math.max(MINIMUM_FULL_MILLISECONDS, Math.min(MAXIMUM_FULL_MILLISECONDS, FREED_SLOTS * perSlot));
+    }
+
     /** Tells whether a target of the service has stated how long work takes there. */
     boolean statesSlowdown() {
         return statesSlowdown;
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/ServiceLoads.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/ServiceLoads.java
@@ -104,13 +104,16 @@
     }
 
     /**
-     * Records a rejection. A target whose slots are in use has no fault and is full for a moment only, as its report tells,
-     * so that it is not paused; other rejections pause it.
+     * Records a rejection. A target whose slots are in use has no fault and is full for a moment only, so that it is left
+     * out only until some slots are expected to be free; other rejections pause it.
      */
     public void recordRejection(TargetState target, Optional<ServerLoad> report, long now) {
         boolean full = report.filter(load -> load.requests() >= ServiceLoad.slots(target))
                 .isPresent();
-        if (!full || byWork(target.entry().service()).isEmpty()) {
+        Optional<ServiceLoad> load = byWork(target.entry().service());
+        if (full && load.isPresent()) {
+            target.recordFull(load.get().slotMilliseconds(target, now), now);
+        } else {
             target.recordRefusal(now);
         }
     }
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetState.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetState.java
@@ -30,6 +30,7 @@
     private int consecutiveRefusals;
     private double failureRate;
     private long backoffUntil = Long.MIN_VALUE / 2;
+    private long fullUntil = Long.MIN_VALUE / 2;
     private boolean probeInFlight;
     private boolean leavingAnnounced;
     private long heldOffUntil = Long.MIN_VALUE / 2;
@@ -61,6 +62,7 @@
             consecutiveFailures = 0;
             failureRate = 0;
             backoffUntil = Long.MIN_VALUE / 2;
+            fullUntil = Long.MIN_VALUE / 2;
             probeInFlight = false;
             leavingAnnounced = false;
             heldOffUntil = Long.MIN_VALUE / 2;
@@ -153,6 +155,11 @@
         backoffUntil = now + (INITIAL_BACKOFF_NANOSECONDS << doublings);
     }
 
+    /** Records that the target rejected a request because all its slots are in use. */
+    void recordFull(double milliseconds, long now) {
+        fullUntil = now + (long) (milliseconds * NANOSECONDS_PER_MILLISECOND);
+    }
+
     /**
      * Records that the target announced in a response that it leaves. This holds until it restarts, whatever its entry
      * says, because the entry may be older than the response.
@@ -194,6 +201,7 @@
     public boolean available(long now) {
         return acceptsRequests(now)
                 && now >= backoffUntil
+                && now >= fullUntil
                 && !(consecutiveFailures > 0 && probeInFlight && inFlight > 0);
     }
 
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/WorkBasedPicker.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/WorkBasedPicker.java
@@ -23,7 +23,9 @@
     /** Part of a request's time that a connection to another availability zone is taken to cost. */
     private static final double OTHER_ZONE_COST = 0.1;
     /** Weight of a target of another availability zone, for the price of the traffic. */
-    private static final double OTHER_ZONE_WEIGHT = 0.7;
+    private static final double OTHER_ZONE_WEIGHT = 0.4;
+    /** The same if the KV cache of a prompt has to cross the boundary. */
+    private static final double OTHER_ZONE_CACHE_WEIGHT = 0.15;
     /** Bounds of a target's share of the requests, as a multiple of its part of the service's rate of work. */
     private static final double MINIMUM_SHARE = 0.05;
 
@@ -107,8 +109,8 @@
             }
             candidates++;
             // Exponential variables with these rates: the smallest belongs to each target in proportion to its weight.
-            double key =
-                    -Math.log(1 - random.nextDouble()) / weight(target, load, memory, availabilityZone, repeat, now);
+            double key = -Math.log(1 - random.nextDouble())
+                    / weight(target, load, memory, availabilityZone, cost.prefilled(), repeat, now);
             if (key < firstKey) {
                 second = first;
                 secondKey = firstKey;
@@ -171,7 +173,13 @@
      * is known of gets its rate of work.
      */
     private static double weight(
-            TargetState target, ServiceLoad load, double memory, String availabilityZone, boolean repeat, long now) {
+            TargetState target,
+            ServiceLoad load,
+            double memory,
+            String availabilityZone,
+            boolean prefilled,
+            boolean repeat,
+            long now) {
         TargetWork work = target.work();
         int slots = ServiceLoad.slots(target);
         double freshness = work.freshness(memory, now);
@@ -187,7 +195,8 @@
         double accepted = 1 - ServiceLoad.exceedance(requests + 0.5, load.capacity(slots), deviation);
         double reliable = power(1 - failureFraction(target, now), repeat ? REPEAT_FAILURE_EXPONENT : FAILURE_EXPONENT);
         double weight = rate * Math.max(MINIMUM_SHARE, Math.min(MAXIMUM_SHARE, share)) * accepted * reliable;
-        return Math.max(MINIMUM_WEIGHT, sameZone(target, availabilityZone) ? weight : OTHER_ZONE_WEIGHT * weight);
+        double otherZone = prefilled ? OTHER_ZONE_CACHE_WEIGHT : OTHER_ZONE_WEIGHT;
+        return Math.max(MINIMUM_WEIGHT, sameZone(target, availabilityZone) ? weight : otherZone * weight);
     }
 
     /**
