--- /dev/null
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/CallerBounds.java
@@ -0,0 +1,51 @@
+package io.fireflywalk.core.ingress;
+
+import java.time.Duration;
+
+/**
+ * Limits that protect an instance from its callers. No caller within the limits of a configuration meets the defaults.
+ *
+ * @param headBytes bytes of a head, or of trailers, with the ends of lines
+ * @param headLines lines of a head, or of trailers
+ * @param foldedLines lines of a head, or of trailers, that continue the line before
+ * @param emptyLineBytes bytes before a request line
+ * @param pipelinedRequests requests of a connection that are decoded and not answered; more wait undecoded
+ * @param headTime time from the first byte of a head to its end, where the configuration states none
+ * @param connections open connections of callers
+ * @param internalConnections open connections of each of the other listeners
+ * @param memoryBytes memory for all that is held on behalf of callers, except for request bodies
+ */
+public record CallerBounds(
+        int headBytes,
+        int headLines,
+        int foldedLines,
+        int emptyLineBytes,
+        int pipelinedRequests,
+        Duration headTime,
+        int connections,
+        int internalConnections,
+        long memoryBytes) {
+    /** Four times the largest head of the known configurations. */
+    public static final int DEFAULT_HEAD_BYTES = 65_536;
+    /** A head of 16 KiB has at most 5,461 lines, of which the shortest are a name, a colon and the end of the line. */
+    public static final int DEFAULT_HEAD_LINES = 6000;
+    /** Each folded line copies the value so far. */
+    public static final int DEFAULT_FOLDED_LINES = 100;
+
+    public static final int DEFAULT_EMPTY_LINE_BYTES = 1024;
+    public static final int DEFAULT_PIPELINED_REQUESTS = 16;
+    /** The HTTP server pauses a connection of which eight messages wait; fewer requests would not reach them. */
+    public static final int MINIMUM_PIPELINED_REQUESTS = 6;
+
+    public static final Duration DEFAULT_HEAD_TIME = Duration.ofSeconds(10);
+    public static final int DEFAULT_INTERNAL_CONNECTIONS = 128;
+    /** The rest is for connections to targets and to the store, files of classes, and connections that end. */
+    private static final double DESCRIPTORS_FRACTION = 0.4;
+
+    private static final int MINIMUM_CONNECTIONS = 16;
+
+    /** Returns the connections of callers for a process that may open a number of files. */
+    public static int connectionsFor(long descriptors) {
+        return (int) Math.max(MINIMUM_CONNECTIONS, Math.min(Integer.MAX_VALUE, DESCRIPTORS_FRACTION * descriptors));
+    }
+}
--- /dev/null
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/CallerLimit.java
@@ -0,0 +1,45 @@
+package io.fireflywalk.core.ingress;
+
+import io.fireflywalk.core.error.ErrorKind;
+import java.util.Locale;
+
+/** Limits that protect an instance from its callers, each with the error of a request that meets it. */
+public enum CallerLimit {
+    /** Bytes of a head or of trailers. */
+    HEAD_BYTES(ErrorKind.HEADERS_TOO_LARGE, "the head or the trailers are too long"),
+    /** Lines of a head or of trailers. */
+    HEAD_LINES(ErrorKind.HEADERS_TOO_LARGE, "the head or the trailers have too many lines"),
+    /** Lines that continue the line before. */
+    FOLDED_LINES(ErrorKind.HEADERS_TOO_LARGE, "the head or the trailers have too many folded lines"),
+    /** Bytes before a request line. */
+    EMPTY_LINES(ErrorKind.INVALID_REQUEST, "too many empty lines before a request"),
+    /** Time from the first byte of a head to its end. */
+    HEAD_TIME(ErrorKind.SLOW_SENDER, "the head did not arrive in time"),
+    /** Open connections. */
+    CONNECTIONS(ErrorKind.CONNECTION_LIMIT, "too many connections"),
+    /** Memory of a connection, of an address, or of all callers. */
+    MEMORY(ErrorKind.MEMORY_EXHAUSTED, "no memory for the head or the response");
+
+    private final ErrorKind kind;
+    private final String detail;
+
+    CallerLimit(ErrorKind kind, String detail) {
+        this.kind = kind;
+        this.detail = detail;
+    }
+
+    /** Returns the error of a request that meets the limit. */
+    public ErrorKind kind() {
+        return kind;
+    }
+
+    /** Returns the text for the caller and the log. */
+    public String detail() {
+        return detail;
+    }
+
+    /** Returns the name in metrics and log lines. */
+    public String code() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/HeadMeter.java
@@ -0,0 +1,82 @@
+package io.fireflywalk.core.ingress;
+
+import java.util.Optional;
+
+/**
+ * Counts what a decoder has read since its last message: empty lines, then a head; or the lines between two chunks, or
+ * trailers. Not thread-safe.
+ */
+public final class HeadMeter {
+    /** The request, its response and their handlers. */
+    private static final int REQUEST_COST = 2048;
+    /** An entry of the headers with its name and value, and a second one in the request to the target. */
+    private static final int LINE_COST = 256;
+    /** Text of names and values, as read and as written to the target. */
+    private static final int BYTE_COST = 3;
+
+    private final CallerBounds bounds;
+    private boolean beforeRequest = true;
+    private int bytes;
+    private int lines;
+    private int foldedLines;
+
+    public HeadMeter(CallerBounds bounds) {
+        this.bounds = bounds;
+    }
+
+    /** Returns the heap that a head takes with its request, an estimate from above. */
+    public static long cost(int bytes, int lines) {
+        return REQUEST_COST + (long) LINE_COST * lines + (long) BYTE_COST * bytes;
+    }
+
+    /** Starts anew because a request is complete. */
+    public void requestEnded() {
+        messageDecoded();
+        beforeRequest = true;
+    }
+
+    /** Starts anew because a request line has been read. */
+    public void headStarted() {
+        messageDecoded();
+        beforeRequest = false;
+    }
+
+    /** Starts anew because a head or a part of a body is complete. */
+    public void messageDecoded() {
+        bytes = 0;
+        lines = 0;
+        foldedLines = 0;
+    }
+
+    /** Adds what has been read; returns the limit that it exceeds. */
+    public Optional<CallerLimit> add(int readBytes, int readLines, int readFoldedLines) {
+        bytes += readBytes;
+        lines += readLines;
+        foldedLines += readFoldedLines;
+        return exceeded(0);
+    }
+
+    /** Returns the limit that the bytes so far exceed together with those of an incomplete line. */
+    public Optional<CallerLimit> exceeded(int incompleteBytes) {
+        if (beforeRequest) {
+            return bytes > bounds.emptyLineBytes() ? Optional.of(CallerLimit.EMPTY_LINES) : Optional.empty();
+        }
+        if (bytes + incompleteBytes > bounds.headBytes()) {
+            return Optional.of(CallerLimit.HEAD_BYTES);
+        }
+        if (lines > bounds.headLines()) {
+            return Optional.of(CallerLimit.HEAD_LINES);
+        }
+        return foldedLines > bounds.foldedLines() ? Optional.of(CallerLimit.FOLDED_LINES) : Optional.empty();
+    }
+
+    /** Tells whether a request line has not been read. */
+    public boolean isBeforeRequest() {
+        return beforeRequest;
+    }
+
+    /** Returns the estimated heap of what has been read since the last message. */
+    public long cost() {
+        return beforeRequest ? 0 : cost(bytes, lines);
+    }
+}
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/CallerConnection.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/CallerConnection.java
@@ -1,13 +1,31 @@
 package io.fireflywalk.daemon.ingress;
 
+import io.fireflywalk.core.ingress.CallerMemory;
+import io.fireflywalk.core.ingress.CallerMemory.Holder;
 import io.fireflywalk.services.time.TimerService;
 import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Optional;
 
-/** Activity of a connection of a caller, which tells when it may be closed. Confined to one event loop. */
+/**
+ * Activity of a connection of a caller, which tells when it may be closed, and the memory that it holds. Confined to one
+ * event loop.
+ */
 final class CallerConnection {
+    /** Memory for a head is taken in steps, so that a usual head takes one. */
+    private static final long HEAD_STEP = 4096;
+
     private final TimerService timers;
+    private final CallerMemory memory;
+    private final Holder holder;
+    /** Memory of the heads that have been decoded and not answered. */
+    private final ArrayDeque<Long> heads = new ArrayDeque<>();
+
     private Phase phase = Phase.IDLE;
     private long lastActiveAt;
+    private long undecoded;
+    private Optional<Long> headStartedAt = Optional.empty();
+    private boolean used;
 
     /** What the connection waits for. */
     private enum Phase {
@@ -21,11 +39,77 @@
         WRITING
     }
 
-    CallerConnection(TimerService timers) {
+    /**
+     * Creates the record of an open connection.
+     *
+     * @param close runs if the memory of the connection is needed for others
+     */
+    CallerConnection(TimerService timers, CallerMemory memory, String address, Runnable close) {
         this.timers = timers;
+        this.memory = memory;
+        this.holder = memory.open(address, close);
         recordActivity();
     }
 
+    /** Records the end of the connection, which releases all that it holds. */
+    void close() {
+        memory.close(holder);
+    }
+
+    // Memory
+
+    /** Takes memory for what the decoder holds of an incomplete head or of trailers; returns false if there is none. */
+    boolean holdUndecoded(long bytes) {
+        if (bytes <= undecoded) {
+            return true;
+        }
+        long added = bytes - undecoded + HEAD_STEP;
+        if (!memory.grow(holder, added)) {
+            return false;
+        }
+        undecoded += added;
+        return true;
+    }
+
+    /** Releases what the decoder held of a head that it has refused, or of trailers. */
+    void releaseUndecoded() {
+        memory.shrink(holder, undecoded);
+        undecoded = 0;
+    }
+
+    /** Records that the first bytes of a head have arrived. */
+    void startHead() {
+        if (headStartedAt.isEmpty()) {
+            headStartedAt = Optional.of(timers.monotonicNanoseconds());
+        }
+    }
+
+    /** Records that a head is complete, whose memory is held until its request has been answered. */
+    void endHead() {
+        headStartedAt = Optional.empty();
+        used = true;
+        heads.add(undecoded);
+        undecoded = 0;
+        memory.setBusy(holder, true);
+    }
+
+    /** Returns the number of requests that have been decoded and not answered. */
+    int unansweredRequests() {
+        return heads.size();
+    }
+
+    /** Takes memory for a part of a response that has not been written; returns false if there is none. */
+    boolean holdResponse(long bytes) {
+        return memory.grow(holder, bytes);
+    }
+
+    /** Releases a part of a response that has been written. */
+    void releaseResponse(long bytes) {
+        memory.shrink(holder, bytes);
+    }
+
+    // Activity
+
     /** Records the head of a request. */
     void startRequest() {
         enter(Phase.REQUEST);
@@ -48,6 +132,10 @@
 
     /** Records that the response has been written; a request that follows it at once may have started before. */
     void endWriting() {
+        if (!heads.isEmpty()) {
+            memory.shrink(holder, heads.remove());
+        }
+        memory.setBusy(holder, !heads.isEmpty());
         if (phase == Phase.WRITING) {
             enter(Phase.IDLE);
         }
@@ -68,7 +156,23 @@
         return phase != Phase.ANSWER && isInactiveFor(time);
     }
 
-    private boolean isInactiveFor(Duration time) {
+    /** Tells whether the caller has taken longer for a head while the connection had no request in progress. */
+    boolean isHeadLateBy(Duration time) {
+        return phase == Phase.IDLE
+                && heads.isEmpty()
+                && headStartedAt
+                        .filter(start ->
+                                timers.monotonicNanoseconds() - Math.max(start, lastActiveAt) >= time.toNanos())
+                        .isPresent();
+    }
+
+    /** Tells whether the caller has sent no whole head since it connected. */
+    boolean isUnused() {
+        return !used;
+    }
+
+    /** Tells whether nothing has happened for some time. */
+    boolean isInactiveFor(Duration time) {
         return timers.monotonicNanoseconds() - lastActiveAt >= time.toNanos();
     }
 }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/CallerExchange.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/CallerExchange.java
@@ -150,7 +150,13 @@
         if (finish()) {
             response.setStatusCode(status);
             addCloseHeader();
-            afterWriting(response.end(responseBody));
+            if (!connection.holdResponse(responseBody.length())) {
+                // The caller reads too slowly for what is left of the memory for callers.
+                request.connection().close();
+                return;
+            }
+            afterWriting(response.end(responseBody)
+                    .onComplete(ignored -> connection.releaseResponse(responseBody.length())));
         }
     }
 
@@ -164,7 +170,11 @@
     /** Sends a chunk of a streamed response, and pauses its source while the caller does not read. */
     void relay(Buffer chunk, TargetExchange source) {
         HttpServerResponse response = request.response();
-        response.write(chunk);
+        if (!connection.holdResponse(chunk.length())) {
+            request.connection().close();
+            return;
+        }
+        response.write(chunk).onComplete(ignored -> connection.releaseResponse(chunk.length()));
         if (response.writeQueueFull()) {
             source.pause();
             response.drainHandler(ignored -> source.resume());
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
@@ -3,6 +3,8 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import io.fireflywalk.core.ingress.BodyMemory;
+import io.fireflywalk.core.ingress.CallerBounds;
+import io.fireflywalk.core.ingress.CallerMemory;
 import io.fireflywalk.core.ingress.PromptPlacement;
 import io.fireflywalk.core.ingress.RunnerLatencyModel;
 import io.fireflywalk.core.ingress.ServiceProfile;
@@ -80,6 +82,9 @@
     private final PromptQuarantine promptQuarantine;
     private final EventLoopMonitor eventLoopMonitor;
     private final IngressServer server;
+    private final IngressMetrics metrics;
+    private final CallerBounds callerBounds;
+    private final CallerMemory callerMemory;
     private boolean draining;
 
     /** Creates an ingress whose memory for request bodies is a part of the heap of the process. */
@@ -145,7 +150,7 @@
                 coordinator,
                 timers,
                 List.of(configurationWatcher, targetWatcher, coordinator.watcher()));
-        IngressMetrics metrics = new IngressMetrics(registry);
+        this.metrics = new IngressMetrics(registry);
         this.promptQuarantine =
                 new PromptQuarantine(settings, broadcaster, directory, coordinator, store, timers, random, metrics);
         TargetCrashDetector crashDetector = new TargetCrashDetector(
@@ -174,7 +179,9 @@
                 eventLoopMonitor,
                 bodyMemory,
                 () -> draining);
-        this.server = new IngressServer(vertx, context, this::requestsPerTarget);
+        this.callerBounds = settings.callerBounds(Runtime.getRuntime().maxMemory(), ProcessLimits.openFiles());
+        this.callerMemory = new CallerMemory(callerBounds.memoryBytes());
+        this.server = new IngressServer(vertx, context, this::requestsPerTarget, callerBounds, callerMemory);
         registerGauges(bodyMemory);
     }
 
@@ -182,6 +189,11 @@
         registry.register("body_bytes_held", (Gauge<Long>) bodyMemory::heldBytes);
         registry.register("body_bytes_maximum", (Gauge<Long>) bodyMemory::maximumBytes);
         registry.register("bodies_waiting", (Gauge<Integer>) bodyMemory::waitingBodies);
+        registry.register("caller_memory_held", (Gauge<Long>) () -> callerMemory.heldBytes() + bodyMemory.heldBytes());
+        registry.register(
+                "caller_memory_maximum", (Gauge<Long>) () -> callerMemory.maximumBytes() + bodyMemory.maximumBytes());
+        registry.register("caller_connections", (Gauge<Integer>) server::connections);
+        registry.register("caller_connections_maximum", (Gauge<Integer>) callerBounds::connections);
         registry.register("configuration_version", (Gauge<Long>) configuration::version);
         registry.register("targets", (Gauge<Integer>) directory::size);
         registry.register("instances", (Gauge<Integer>) coordinator::instanceCount);
@@ -244,16 +256,22 @@
         String callers = settings.listen().callers();
         String host = settings.instance().host();
         return listen(() -> server.listen(IngressSettings.host(callers), IngressSettings.port(callers)))
-                .compose(ignored -> listen(() -> vertx.createHttpServer()
-                        .requestHandler(this::checkReadiness)
-                        .listen(IngressSettings.port(readiness), IngressSettings.host(readiness))))
-                .compose(ignored -> listen(
-                        () -> peerConfiguration.listen(host, settings.listen().peerPort())))
+                .compose(ignored -> listen(() -> internalGuard()
+                        .listenInternally(
+                                vertx,
+                                this::checkReadiness,
+                                IngressSettings.host(readiness),
+                                IngressSettings.port(readiness))))
+                .compose(ignored -> listen(() -> peerConfiguration.listen(
+                        internalGuard(), host, settings.listen().peerPort())))
                 .compose(ignored ->
                         listen(() -> datagrams.listen(host, settings.listen().peerPort())))
-                .compose(ignored -> listen(() -> vertx.createHttpServer()
-                        .requestHandler(request -> request.response().end(MetricsRenderer.render(registry)))
-                        .listen(settings.listen().metricsPort(), host)))
+                .compose(ignored -> listen(() -> internalGuard()
+                        .listenInternally(
+                                vertx,
+                                request -> request.response().end(MetricsRenderer.render(registry)),
+                                host,
+                                settings.listen().metricsPort())))
                 .onSuccess(ignored -> LOG.infof(
                         "event=started instance=%s zone=%s callers=%s readiness=%s store=%s",
                         settings.instance().name(),
@@ -263,6 +281,10 @@
                         settings.store()));
     }
 
+    private ListenerGuard internalGuard() {
+        return new ListenerGuard(timers, callerMemory, callerBounds, callerBounds.internalConnections(), metrics);
+    }
+
     /** Retries until the port is free, because the process that this one replaces may still hold it. */
     private Future<?> listen(Supplier<Future<?>> listener) {
         return listener.get().recover(cause -> {
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressMetrics.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressMetrics.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
+import io.fireflywalk.core.ingress.CallerLimit;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.jboss.logging.Logger;
@@ -19,6 +20,9 @@
     /** Log lines per second for faults of targets. */
     private static final int FAULT_LINES_PER_SECOND = 20;
 
+    /** Log lines per second for limits that callers meet. */
+    private static final int LIMIT_LINES_PER_SECOND = 5;
+
     private static final long NANOSECONDS_PER_SECOND = 1_000_000_000L;
 
     private final MetricRegistry registry;
@@ -28,6 +32,7 @@
     private int answeredLines;
     private int failedLines;
     private int faultLines;
+    private int limitLines;
     private long omittedLines;
 
     IngressMetrics(MetricRegistry registry) {
@@ -72,6 +77,17 @@
         }
     }
 
+    /** Counts a limit that a caller has met, and logs it if the rate limit allows. */
+    void limitMet(long now, CallerLimit limit, String address) {
+        count("caller_limit_" + limit.code());
+        startSecond(now);
+        if (limitLines++ < LIMIT_LINES_PER_SECOND) {
+            LOG.warnf("event=caller_limit limit=%s address=%s cause=\"%s\"", limit.code(), address, limit.detail());
+        } else {
+            omittedLines++;
+        }
+    }
+
     private void startSecond(long now) {
         if (now / NANOSECONDS_PER_SECOND == currentSecond) {
             return;
@@ -80,6 +96,7 @@
         answeredLines = 0;
         failedLines = 0;
         faultLines = 0;
+        limitLines = 0;
         if (omittedLines > 0) {
             LOG.infof("event=lines_omitted count=%d", omittedLines);
             omittedLines = 0;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressServer.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressServer.java
@@ -2,33 +2,28 @@
 
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
+import io.fireflywalk.core.ingress.CallerBounds;
 import io.fireflywalk.core.ingress.CallerLimits;
+import io.fireflywalk.core.ingress.CallerMemory;
 import io.fireflywalk.core.ingress.HostRoute;
 import io.fireflywalk.core.ingress.RequestDescription;
 import io.fireflywalk.core.ingress.RoutingConfiguration;
 import io.reactivex.rxjava3.core.Completable;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
-import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
-import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Predicate;
 import org.jboss.logging.Logger;
 
 /** HTTP server for callers: authenticates and routes each request. Confined to one event loop. */
 final class IngressServer {
     private static final Logger LOG = Logger.getLogger(IngressServer.class);
     private static final String LOCATION = "ingress";
-    private static final int MAXIMUM_HEADER_BYTES = 65_536;
-    private static final int MAXIMUM_REQUEST_LINE_BYTES = 16_384;
     /** Limits of callers' connections until a configuration states them. */
     private static final CallerLimits DEFAULT_LIMITS = new CallerLimits(0, Duration.ofSeconds(30), Duration.ZERO);
 
@@ -39,12 +34,20 @@
     private final IngressContext context;
     private final TargetConcurrencyLimits limits;
     private final Vertx vertx;
-    private final Map<HttpConnection, CallerConnection> connections = new HashMap<>();
+    private final CallerBounds bounds;
+    private final ListenerGuard guard;
     private final Set<CallerExchange> requestsInFlight = new HashSet<>();
     private Optional<HttpServer> listener = Optional.empty();
     private boolean rejectingNewRequests;
 
-    IngressServer(Vertx vertx, IngressContext context, TargetConcurrencyLimits limits) {
+    IngressServer(
+            Vertx vertx,
+            IngressContext context,
+            TargetConcurrencyLimits limits,
+            CallerBounds bounds,
+            CallerMemory memory) {
+        this.bounds = bounds;
+        this.guard = new ListenerGuard(context.timers(), memory, bounds, bounds.connections(), context.metrics());
         this.context = context;
         this.limits = limits;
         this.vertx = vertx;
@@ -54,16 +57,8 @@
     Future<HttpServer> listen(String host, int port) {
         var unused =
                 context.timers().repeat(IDLE_CHECK_INTERVAL, "idle connections", this::closeConnectionsOfSilentCallers);
-        HttpServerOptions options = new HttpServerOptions()
-                .setMaxHeaderSize(MAXIMUM_HEADER_BYTES)
-                .setMaxInitialLineLength(MAXIMUM_REQUEST_LINE_BYTES)
-                .setHttp2ClearTextEnabled(false)
-                .setHandle100ContinueAutomatically(true);
-        return vertx.createHttpServer(options)
-                .connectionHandler(connection -> {
-                    StrictRequestDecoder.install(connection, options);
-                    onConnect(connection);
-                })
+        return vertx.createHttpServer(guard.options().setHandle100ContinueAutomatically(true))
+                .connectionHandler(guard::connected)
                 .invalidRequestHandler(this::refuseInvalid)
                 .requestHandler(this::handle)
                 .listen(port, host)
@@ -80,9 +75,14 @@
         rejectingNewRequests = true;
     }
 
+    /** Returns the number of open connections. */
+    int connections() {
+        return guard.size();
+    }
+
     /** Tells whether no connection is open. */
     boolean hasNoConnections() {
-        return connections.isEmpty();
+        return guard.size() == 0;
     }
 
     /**
@@ -102,7 +102,7 @@
 
     /** Closes idle connections, so that their callers connect to another instance. */
     void closeIdleConnections() {
-        closeConnections(connection -> connection.isIdleFor(MINIMUM_IDLE_TIME));
+        guard.closeWhere(connection -> connection.isIdleFor(MINIMUM_IDLE_TIME));
     }
 
     /**
@@ -121,20 +121,14 @@
                 .orElse(DEFAULT_LIMITS);
         // A head is seen only once it is complete, so the time that it may take is part of the silence before it.
         Duration allowed = limits.idle().plus(limits.head());
-        closeConnections(connection -> connection.isCallerSilentFor(allowed));
-    }
-
-    private void closeConnections(Predicate<CallerConnection> condition) {
-        List<HttpConnection> closed = connections.entrySet().stream()
-                .filter(entry -> condition.test(entry.getValue()))
-                .map(Map.Entry::getKey)
-                .toList();
-        closed.forEach(HttpConnection::close);
+        guard.closeWhere(connection -> connection.isCallerSilentFor(allowed));
+        guard.closeUnfinished(limits.head().isZero() ? bounds.headTime() : limits.head());
     }
 
-    private void onConnect(HttpConnection connection) {
-        connections.put(connection, new CallerConnection(context.timers()));
-        connection.closeHandler(ignored -> connections.remove(connection));
+    private CallerConnection connectionOf(HttpServerRequest request) {
+        // Not found if the connection has just been closed.
+        return guard.find(request.connection())
+                .orElseGet(() -> new CallerConnection(context.timers(), new CallerMemory(0), "", () -> {}));
     }
 
     private void handle(HttpServerRequest request) {
@@ -143,8 +137,7 @@
             refuseInvalid(request);
             return;
         }
-        CallerConnection connection =
-                connections.getOrDefault(request.connection(), new CallerConnection(context.timers()));
+        CallerConnection connection = connectionOf(request);
         connection.startRequest();
         CallerExchange caller = new CallerExchange(context, request, connection, requestsInFlight::remove);
         requestsInFlight.add(caller);
@@ -159,8 +152,7 @@
 
     /** Answers a request that the decoder has refused, and closes its connection. */
     private void refuseInvalid(HttpServerRequest request) {
-        CallerConnection connection =
-                connections.getOrDefault(request.connection(), new CallerConnection(context.timers()));
+        CallerConnection connection = connectionOf(request);
         connection.startRequest();
         CallerExchange caller = new CallerExchange(context, request, connection, requestsInFlight::remove);
         requestsInFlight.add(caller);
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressSettings.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressSettings.java
@@ -3,6 +3,8 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
+import io.fireflywalk.core.ingress.CallerBounds;
+import io.fireflywalk.core.ingress.CallerMemory;
 import io.fireflywalk.services.codec.Codec;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -21,6 +23,7 @@
  * @param reports address of the control plane; empty to disable usage reports and scaling
  * @param bounds limits set by the platform's operator
  * @param features names of the platform's features that are in force on this deployment; unknown ones are ignored
+ * @param callerLimits limits that protect the instance from its callers, where they differ from the defaults
  */
 public record IngressSettings(
         Instance instance,
@@ -28,7 +31,8 @@
         String store,
         String reports,
         Bounds bounds,
-        Optional<List<String>> features) {
+        Optional<List<String>> features,
+        Optional<CallerSettings> callerLimits) {
 
     public IngressSettings {
         features = features.map(List::copyOf);
@@ -36,7 +40,7 @@
 
     /** Creates settings of a deployment without optional features. */
     public IngressSettings(Instance instance, Listen listen, String store, String reports, Bounds bounds) {
-        this(instance, listen, store, reports, bounds, Optional.empty());
+        this(instance, listen, store, reports, bounds, Optional.empty(), Optional.empty());
     }
 
     /** Name and location of the instance. */
@@ -80,6 +84,47 @@
         }
     }
 
+    /** Limits that protect the instance from its callers; each has a default. */
+    public record CallerSettings(
+            Optional<Integer> headBytes,
+            Optional<Integer> headLines,
+            Optional<Integer> foldedLines,
+            Optional<Integer> emptyLineBytes,
+            Optional<Integer> pipelinedRequests,
+            Optional<Integer> headMilliseconds,
+            Optional<Integer> connections,
+            Optional<Integer> internalConnections,
+            Optional<Long> memoryBytes) {
+        /** Returns settings that state nothing. */
+        static CallerSettings defaults() {
+            return new CallerSettings(
+                    Optional.empty(),
+                    Optional.empty(),
+                    Optional.empty(),
+                    Optional.empty(),
+                    Optional.empty(),
+                    Optional.empty(),
+                    Optional.empty(),
+                    Optional.empty(),
+                    Optional.empty());
+        }
+    }
+
+    /** Returns the limits that protect a process with a heap and a number of files that it may open from its callers. */
+    public CallerBounds callerBounds(long heapBytes, long openFiles) {
+        CallerSettings stated = callerLimits.orElseGet(CallerSettings::defaults);
+        return new CallerBounds(
+                stated.headBytes().orElse(CallerBounds.DEFAULT_HEAD_BYTES),
+                stated.headLines().orElse(CallerBounds.DEFAULT_HEAD_LINES),
+                stated.foldedLines().orElse(CallerBounds.DEFAULT_FOLDED_LINES),
+                stated.emptyLineBytes().orElse(CallerBounds.DEFAULT_EMPTY_LINE_BYTES),
+                stated.pipelinedRequests().orElse(CallerBounds.DEFAULT_PIPELINED_REQUESTS),
+                stated.headMilliseconds().map(Duration::ofMillis).orElse(CallerBounds.DEFAULT_HEAD_TIME),
+                stated.connections().orElse(CallerBounds.connectionsFor(openFiles)),
+                stated.internalConnections().orElse(CallerBounds.DEFAULT_INTERNAL_CONNECTIONS),
+                stated.memoryBytes().orElse(CallerMemory.bytesOfHeap(heapBytes)));
+    }
+
     /** Reads and validates a settings file. */
     public static IngressSettings load(Path file) throws FireflywalkException {
         try {
@@ -132,6 +177,24 @@
                 bounds.leavingTargetMilliseconds() > 0,
                 "bounds.leavingTargetMilliseconds must be greater than 0",
                 problems);
+        validateCallerLimits(problems);
+    }
+
+    private void validateCallerLimits(List<String> problems) {
+        CallerBounds stated = callerBounds(0, 0);
+        String path = "callerLimits.";
+        requireThat(stated.headBytes() > 0, path + "headBytes must be greater than 0", problems);
+        requireThat(stated.headLines() > 0, path + "headLines must be greater than 0", problems);
+        requireThat(stated.foldedLines() >= 0, path + "foldedLines must not be negative", problems);
+        requireThat(stated.emptyLineBytes() >= 0, path + "emptyLineBytes must not be negative", problems);
+        requireThat(
+                stated.pipelinedRequests() >= CallerBounds.MINIMUM_PIPELINED_REQUESTS,
+                path + "pipelinedRequests must be at least " + CallerBounds.MINIMUM_PIPELINED_REQUESTS,
+                problems);
+        requireThat(!stated.headTime().isNegative(), path + "headMilliseconds must not be negative", problems);
+        requireThat(stated.connections() > 0, path + "connections must be greater than 0", problems);
+        requireThat(stated.internalConnections() > 0, path + "internalConnections must be greater than 0", problems);
+        requireThat(stated.memoryBytes() > 0, path + "memoryBytes must be greater than 0", problems);
     }
 
     private static void requireThat(boolean condition, String problem, List<String> problems) {
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/PeerConfigurationSync.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/PeerConfigurationSync.java
@@ -59,8 +59,8 @@
         this.coordinator = coordinator;
     }
 
-    Future<HttpServer> listen(String host, int port) {
-        return vertx.createHttpServer().requestHandler(this::serve).listen(port, host);
+    Future<HttpServer> listen(ListenerGuard guard, String host, int port) {
+        return guard.listenInternally(vertx, this::serve, host, port);
     }
 
     void start() {
