--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/CallerBounds.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/CallerBounds.java
@@ -39,13 +39,16 @@
 
     public static final Duration DEFAULT_HEAD_TIME = Duration.ofSeconds(10);
     public static final int DEFAULT_INTERNAL_CONNECTIONS = 128;
-    /** The rest is for connections to targets and to the store, files of classes, and connections that end. */
-    private static final double DESCRIPTORS_FRACTION = 0.4;
+    /** The other half is for connections to targets, of which there are as many as requests in progress. */
+    private static final int DESCRIPTORS_DIVISOR = 2;
+    /** Files of classes, connections to one target and to the store, and connections that are opened and closed. */
+    private static final int RESERVED_DESCRIPTORS = 216;
 
     private static final int MINIMUM_CONNECTIONS = 16;
 
     /** Returns the connections of callers for a process that may open a number of files. */
     public static int connectionsFor(long descriptors) {
-        return (int) Math.max(MINIMUM_CONNECTIONS, Math.min(Integer.MAX_VALUE, DESCRIPTORS_FRACTION * descriptors));
+        long connections = Math.min(descriptors / DESCRIPTORS_DIVISOR, descriptors - RESERVED_DESCRIPTORS);
+        return (int) Math.max(MINIMUM_CONNECTIONS, Math.min(Integer.MAX_VALUE, connections));
     }
 }
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/CallerLimit.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/CallerLimit.java
@@ -13,6 +13,8 @@
     FOLDED_LINES(ErrorKind.HEADERS_TOO_LARGE, "the head or the trailers have too many folded lines"),
     /** Bytes before a request line. */
     EMPTY_LINES(ErrorKind.INVALID_REQUEST, "too many empty lines before a request"),
+    /** Requests of a connection that wait for the answers to earlier ones. They are not refused; their bytes wait. */
+    PIPELINED_REQUESTS(ErrorKind.QUEUE_FULL, "requests wait behind others of their connection"),
     /** Time from the first byte of a head to its end. */
     HEAD_TIME(ErrorKind.SLOW_SENDER, "the head did not arrive in time"),
     /** Open connections. */
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/CallerMemory.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/CallerMemory.java
@@ -18,7 +18,7 @@
  */
 public final class CallerMemory {
     /** What remains beside bodies is for targets, tables, and objects that have not been collected. */
-    private static final double HEAP_FRACTION = 0.2;
+    private static final double HEAP_FRACTION = 0.15;
     /** Two of the largest heads that a configuration of 16 KiB allows. */
     private static final long MINIMUM_BYTES = 2 * HeadMeter.cost(16_384, 5_461);
     /** Receive buffer, decoder and objects of an open connection. */
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/HeadMeter.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/HeadMeter.java
@@ -14,6 +14,9 @@
     /** Text of names and values, as read and as written to the target. */
     private static final int BYTE_COST = 3;
 
+    /** A line without its end is kept in a buffer that doubles, of which the earlier one is copied. */
+    private static final int INCOMPLETE_BYTE_COST = 4;
+
     private final CallerBounds bounds;
     private boolean beforeRequest = true;
     private int bytes;
@@ -75,8 +78,8 @@
         return beforeRequest;
     }
 
-    /** Returns the estimated heap of what has been read since the last message. */
-    public long cost() {
-        return beforeRequest ? 0 : cost(bytes, lines);
+    /** Returns the estimated memory of what has been read since the last message, and of an incomplete line. */
+    public long cost(int incompleteBytes) {
+        return (beforeRequest ? 0 : cost(bytes, lines)) + (long) INCOMPLETE_BYTE_COST * incompleteBytes;
     }
 }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/CallerConnection.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/CallerConnection.java
@@ -26,6 +26,7 @@
     private long undecoded;
     private Optional<Long> headStartedAt = Optional.empty();
     private boolean used;
+    private Runnable answerHandler = () -> {};
 
     /** What the connection waits for. */
     private enum Phase {
@@ -93,6 +94,11 @@
         memory.setBusy(holder, true);
     }
 
+    /** Sets the handler that runs after each response that has been written. */
+    void onAnswered(Runnable handler) {
+        answerHandler = handler;
+    }
+
     /** Returns the number of requests that have been decoded and not answered. */
     int unansweredRequests() {
         return heads.size();
@@ -136,6 +142,7 @@
             memory.shrink(holder, heads.remove());
         }
         memory.setBusy(holder, !heads.isEmpty());
+        answerHandler.run();
         if (phase == Phase.WRITING) {
             enter(Phase.IDLE);
         }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/StrictRequestDecoder.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/StrictRequestDecoder.java
@@ -7,7 +7,10 @@
 import io.fireflywalk.daemon.ingress.RequestFraming.ViolationException;
 import io.fireflywalk.services.http.ChunkSizeCheck;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.Unpooled;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
@@ -43,6 +46,9 @@
 
     private static final byte[] INVALID_LINES = "-\r\n-\r\n".getBytes(StandardCharsets.US_ASCII);
 
+    /** What waits is kept in the heap: a direct buffer of a few bytes would keep a whole chunk of its pool. */
+    private static final ByteBufAllocator HEAP = new UnpooledByteBufAllocator(false);
+
     private final ChunkSizeCheck chunkSizes = new ChunkSizeCheck();
     private final CallerBounds bounds;
     private final HeadMeter meter;
@@ -52,6 +58,7 @@
     private boolean dropping;
     private boolean readingBody;
     private boolean stopped;
+    private boolean readingStopped;
     private int steps;
     private int lengths;
 
@@ -61,6 +68,7 @@
             CallerConnection connection,
             Consumer<CallerLimit> onLimit) {
         super(options);
+        setCumulator((unused, cumulation, input) -> cumulate(cumulation, input));
         this.bounds = bounds;
         this.meter = new HeadMeter(bounds);
         this.connection = connection;
@@ -89,9 +97,20 @@
                 decoder.resumeLater(pipeline.context(decoder));
             }
         });
+        caller.onAnswered(() -> decoder.resumeReading(pipeline.channel()));
         return decoder;
     }
 
+    private static ByteBuf cumulate(ByteBuf cumulation, ByteBuf input) {
+        if (cumulation.isReadable()) {
+            return MERGE_CUMULATOR.cumulate(HEAP, cumulation, input);
+        }
+        ByteBuf copy = HEAP.buffer(input.readableBytes()).writeBytes(input);
+        input.release();
+        cumulation.release();
+        return copy;
+    }
+
     /** Refuses the request whose head is incomplete. */
     void refuse(HttpConnection refused, CallerLimit limit) {
         ChannelHandlerContext context = ((HttpServerConnection) refused)
@@ -162,8 +181,25 @@
             // Lets the HTTP server stop to read if it has too many messages.
             context.fireChannelReadComplete();
         }
-        return context.channel().config().isAutoRead()
-                && (!meter.isBeforeRequest() || connection.unansweredRequests() < bounds.pipelinedRequests());
+        if (!context.channel().config().isAutoRead()) {
+            return false;
+        }
+        if (!meter.isBeforeRequest() || connection.unansweredRequests() < bounds.pipelinedRequests()) {
+            return true;
+        }
+        // The HTTP server reads on once it has produced the responses, although the caller may not read them.
+        readingStopped = true;
+        context.channel().config().setAutoRead(false);
+        onLimit.accept(CallerLimit.PIPELINED_REQUESTS);
+        return false;
+    }
+
+    /** Reads again after a response, which lets the next request be decoded. */
+    private void resumeReading(Channel channel) {
+        if (readingStopped && connection.unansweredRequests() < bounds.pipelinedRequests()) {
+            readingStopped = false;
+            channel.config().setAutoRead(true);
+        }
     }
 
     /** Checks the lines of a head that the next step decodes, and takes the memory for them. */
@@ -184,7 +220,7 @@
         if (!scan.complete() && (scan.incompleteBytes() > 0 || !meter.isBeforeRequest())) {
             connection.startHead();
         }
-        if (limitViolation.isEmpty() && !connection.holdUndecoded(meter.cost() + scan.incompleteBytes())) {
+        if (limitViolation.isEmpty() && !connection.holdUndecoded(meter.cost(scan.incompleteBytes()))) {
             exceed(CallerLimit.MEMORY);
         }
     }
@@ -193,7 +229,7 @@
     private void checkLinesOfBody(ByteBuf input, int start) {
         HeadScan scan = HeadScan.of(input.slice(start, input.readerIndex() - start), false);
         meter.add(scan.bytes(), scan.lines(), scan.foldedLines()).ifPresent(this::exceed);
-        if (limitViolation.isEmpty() && !connection.holdUndecoded(meter.cost())) {
+        if (limitViolation.isEmpty() && !connection.holdUndecoded(meter.cost(0))) {
             exceed(CallerLimit.MEMORY);
         }
     }
