--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
@@ -65,6 +65,9 @@
     private static final Duration LISTEN_RETRY_DELAY = Duration.ofMillis(250);
     private static final Duration DRAIN_CHECK_INTERVAL = Duration.ofMillis(50);
 
+    /** Connections to the other listeners, and of callers that are being closed. */
+    private static final int CONNECTIONS_BESIDE_CALLERS = 32;
+
     private final IngressSettings settings;
     private final Vertx vertx;
     private final TimerService timers;
@@ -87,6 +90,11 @@
     private final CallerMemory callerMemory;
     private boolean draining;
 
+    /** Returns the number of connections that all listeners of a process may have open, with those that are being closed. */
+    public static int maximumConnections(IngressSettings settings) {
+        return settings.callerBounds(0, ProcessLimits.openFiles()).connections() + CONNECTIONS_BESIDE_CALLERS;
+    }
+
     /** Creates an ingress whose memory for request bodies is a part of the heap of the process. */
     public IngressDaemon(Vertx vertx, IngressSettings settings, IngressPlatform platform, TimerService timers) {
         this(
--- a/fireflywalk-services/src/main/java/io/fireflywalk/services/http/BoundedReadTransport.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/http/BoundedReadTransport.java
@@ -28,7 +28,20 @@
 
     private static final int READS_PER_TURN = 1;
 
-    private final Transport implementation = new Implementation();
+    private final Transport implementation;
+
+    /** Creates a transport whose servers accept any number of connections. */
+    public BoundedReadTransport() {
+        this(Integer.MAX_VALUE);
+    }
+
+    /**
+     * Creates a transport with a bound for the open connections of all its servers together. A connection over it is
+     * closed where it is accepted, so that a burst cannot use up the file descriptors before an event loop has seen it.
+     */
+    public BoundedReadTransport(int maximumConnections) {
+        this.implementation = new Implementation(new AcceptLimit(maximumConnections));
+    }
 
     @Override
     public String name() {
@@ -53,10 +66,15 @@
     /** Adds the bound to the options of each connection, also where the options of a client or server set their own. */
     private static final class Implementation implements Transport {
         private final Transport nio = io.vertx.core.transport.Transport.NIO.implementation();
+        private final AcceptLimit acceptLimit;
         private final RecvByteBufAllocator allocator = new AdaptiveRecvByteBufAllocator(
                         MINIMUM_READ_BYTES, INITIAL_READ_BYTES, MAXIMUM_READ_BYTES)
                 .maxMessagesPerRead(READS_PER_TURN);
 
+        Implementation(AcceptLimit acceptLimit) {
+            this.acceptLimit = acceptLimit;
+        }
+
         @Override
         public void configure(
                 ClientOptionsBase options, int connectTimeout, boolean domainSocket, Bootstrap bootstrap) {
@@ -68,6 +86,7 @@
         public void configure(NetServerOptions options, boolean domainSocket, ServerBootstrap bootstrap) {
             nio.configure(options, domainSocket, bootstrap);
             bootstrap.childOption(ChannelOption.RECVBUF_ALLOCATOR, allocator);
+            bootstrap.handler(acceptLimit);
         }
 
         @Override
