--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/EnvironmentSettings.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/EnvironmentSettings.java
@@ -52,7 +52,8 @@
                 settings.store(),
                 settings.reports(),
                 changed,
-                Optional.of(features));
+                Optional.of(features),
+                settings.callerLimits());
         result.requireValid("environment");
         return result;
     }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
@@ -5,6 +5,8 @@
 import io.fireflywalk.core.admission.CompletionRates;
 import io.fireflywalk.core.ingress.ArrivedWorkCounter;
 import io.fireflywalk.core.ingress.BodyMemory;
+import io.fireflywalk.core.ingress.CallerBounds;
+import io.fireflywalk.core.ingress.CallerMemory;
 import io.fireflywalk.core.ingress.PromptPlacement;
 import io.fireflywalk.core.ingress.RunnerLatencyModel;
 import io.fireflywalk.core.ingress.ServiceLoads;
@@ -68,6 +70,9 @@
     private static final Duration LISTEN_RETRY_DELAY = Duration.ofMillis(250);
     private static final Duration DRAIN_CHECK_INTERVAL = Duration.ofMillis(50);
 
+    /** Connections to the other listeners, and of callers that are being closed. */
+    private static final int CONNECTIONS_BESIDE_CALLERS = 32;
+
     private final IngressSettings settings;
     private final Vertx vertx;
     private final TimerService timers;
@@ -88,8 +93,16 @@
     private final EventLoopMonitor eventLoopMonitor;
     private final TargetChooser targetChooser;
     private final IngressServer server;
+    private final IngressMetrics metrics;
+    private final CallerBounds callerBounds;
+    private final CallerMemory callerMemory;
     private boolean draining;
 
+    /** Returns the number of connections that all listeners of a process may have open, with those that are being closed. */
+    public static int maximumConnections(IngressSettings settings) {
+        return settings.callerBounds(0, ProcessLimits.openFiles()).connections() + CONNECTIONS_BESIDE_CALLERS;
+    }
+
     /** Creates an ingress whose memory for request bodies is a part of the heap of the process. */
     public IngressDaemon(Vertx vertx, IngressSettings settings, IngressPlatform platform, TimerService timers) {
         this(
@@ -136,7 +149,7 @@
         this.datagrams = new PeerDatagrams(vertx);
         FleetBroadcaster broadcaster = new FleetBroadcaster(datagrams, settings, coordinator, random);
         PlacementBroadcaster placementBroadcaster = new PlacementBroadcaster(broadcaster, timers, directory);
-        IngressMetrics metrics = new IngressMetrics(registry);
+        this.metrics = new IngressMetrics(registry);
         ServiceLoads loads = new ServiceLoads(platform.features().contains(DeploymentFeature.CONTENTION));
         this.arrivedWork = createArrivedWork(loads, promptPlacement, metrics);
         placementBroadcaster.onPlacement(arrivedWork::countPlacement);
@@ -184,7 +197,9 @@
                 eventLoopMonitor,
                 bodyMemory,
                 () -> draining);
-        this.server = new IngressServer(vertx, context, this::requestsPerTarget);
+        this.callerBounds = settings.callerBounds(Runtime.getRuntime().maxMemory(), ProcessLimits.openFiles());
+        this.callerMemory = new CallerMemory(callerBounds.memoryBytes());
+        this.server = new IngressServer(vertx, context, this::requestsPerTarget, callerBounds, callerMemory);
         registerGauges(bodyMemory, requestQueue);
     }
 
@@ -236,6 +251,11 @@
         registry.register("body_bytes_maximum", (Gauge<Long>) bodyMemory::maximumBytes);
         registry.register("bodies_waiting", (Gauge<Integer>) bodyMemory::waitingBodies);
         registry.register("requests_waiting", (Gauge<Integer>) requestQueue::waiting);
+        registry.register("caller_memory_held", (Gauge<Long>) () -> callerMemory.heldBytes() + bodyMemory.heldBytes());
+        registry.register(
+                "caller_memory_maximum", (Gauge<Long>) () -> callerMemory.maximumBytes() + bodyMemory.maximumBytes());
+        registry.register("caller_connections", (Gauge<Integer>) server::connections);
+        registry.register("caller_connections_maximum", (Gauge<Integer>) callerBounds::connections);
         registry.register("configuration_version", (Gauge<Long>) configuration::version);
         registry.register("targets", (Gauge<Integer>) directory::size);
         registry.register("instances", (Gauge<Integer>) coordinator::instanceCount);
@@ -325,17 +345,23 @@
         String callers = settings.listen().callers();
         String host = settings.instance().host();
         return listen(() -> server.listen(IngressSettings.host(callers), IngressSettings.port(callers)))
-                .compose(ignored -> listen(() -> vertx.createHttpServer()
-                        .requestHandler(this::checkReadiness)
-                        .listen(IngressSettings.port(readiness), IngressSettings.host(readiness))))
-                .compose(ignored -> listen(
-                        () -> peerConfiguration.listen(host, settings.listen().peerPort())))
+                .compose(ignored -> listen(() -> internalGuard()
+                        .listenInternally(
+                                vertx,
+                                this::checkReadiness,
+                                IngressSettings.host(readiness),
+                                IngressSettings.port(readiness))))
+                .compose(ignored -> listen(() -> peerConfiguration.listen(
+                        internalGuard(), host, settings.listen().peerPort())))
                 .compose(ignored ->
                         listen(() -> datagrams.listen(host, settings.listen().peerPort())))
                 .onSuccess(ignored -> quotas.start())
-                .compose(ignored -> listen(() -> vertx.createHttpServer()
-                        .requestHandler(request -> request.response().end(MetricsRenderer.render(registry)))
-                        .listen(settings.listen().metricsPort(), host)))
+                .compose(ignored -> listen(() -> internalGuard()
+                        .listenInternally(
+                                vertx,
+                                request -> request.response().end(MetricsRenderer.render(registry)),
+                                host,
+                                settings.listen().metricsPort())))
                 .onSuccess(ignored -> LOG.infof(
                         "event=started instance=%s zone=%s callers=%s readiness=%s store=%s",
                         settings.instance().name(),
@@ -345,6 +371,10 @@
                         settings.store()));
     }
 
+    private ListenerGuard internalGuard() {
+        return new ListenerGuard(timers, callerMemory, callerBounds, callerBounds.internalConnections(), metrics);
+    }
+
     /** Retries until the port is free, because the process that this one replaces may still hold it. */
     private Future<?> listen(Supplier<Future<?>> listener) {
         return listener.get().recover(cause -> {
