--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/quota/QuotaPool.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/quota/QuotaPool.java
@@ -151,7 +151,7 @@
         long room =
                 (long) Math.floor(Math.min(account.level, account.limits.poolOutstanding(pool) - account.outstanding));
         // A reserve must not take what a request needs that arrives next.
-        long given = needed > 0 ? (room >= needed ? Math.min(room, wanted) : 0) : (room >= 2 * wanted ? wanted : 0);
+        long given = needed > 0 ? (room >= needed ? Math.min(room, wanted) : 0) : (room / 2 >= wanted ? wanted : 0);
         holder.granted += given;
         account.granted += given;
         account.outstanding += given;
