--- a/fireflywalk-core/src/test/java/io/fireflywalk/core/quota/QuotaProperties.java
+++ b/fireflywalk-core/src/test/java/io/fireflywalk/core/quota/QuotaProperties.java
@@ -133,15 +133,23 @@
     }
 
     @Example
-    void sharesServeShortPromptsWithoutAnyGranter() {
+    void sharesServeShortPromptsWithoutAnyGranterWithinTheirPart() {
         AccountQuota quota = QuotaFleet.tokens(403_953);
         QuotaFleet fleet = new QuotaFleet(3, quota, TERMS, 10);
         load(fleet, 10_000, 40 * SECOND);
         fleet.lossRate = 1;
         fleet.advance(5 * SECOND);
+        List<Instance> others =
+                fleet.instances.stream().filter(instance -> !instance.grants()).toList();
         long before = fleet.used();
-        fleet.instances.forEach(instance -> instance.request(387));
+        others.forEach(instance -> instance.request(387));
         fleet.advance(SECOND);
-        assertEquals(before + 387L * fleet.instances.size(), fleet.used());
+        assertEquals(before + 387L * others.size(), fleet.used());
+        for (int request = 0; request < 60; request++) {
+            others.forEach(instance -> instance.request(387));
+        }
+        fleet.advance(SECOND);
+        double shares = QuotaLimits.SHARE_FRACTION * TERMS.limits(quota).excess();
+        assertTrue(fleet.used() - before <= shares, "the shares exceed their part of the quota");
     }
 }
