--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
@@ -130,15 +130,7 @@
                 platform.rowDecoder(), timers, this::timeSinceTargetTableRecovery, this::promptCacheTokens);
         this.configurationWatcher = new TableWatcher(
                 store, Table.CONFIGURATION, timers, random, CONFIGURATION_POLL_INTERVAL, LONG_POLL_WAIT, configuration);
-        boolean relayUsable = StoreRelay.usableWith(settings.bounds());
-        this.targetWatcher = new TableWatcher(
-                store,
-                Table.TARGETS,
-                timers,
-                random,
-                relayUsable ? RELAYED_TARGET_POLL_INTERVAL : TARGET_POLL_INTERVAL,
-                relayUsable ? LONG_POLL_WAIT : Duration.ZERO,
-                directory);
+        this.targetWatcher = createTargetWatcher(store, random);
         this.coordinator = new FleetCoordinator(settings, store, timers, random);
         this.peerConfiguration = new PeerConfigurationSync(
                 vertx, settings, timers, random, configuration, configurationWatcher, coordinator);
@@ -203,6 +195,18 @@
         registerGauges(bodyMemory, requestQueue);
     }
 
+    private TableWatcher createTargetWatcher(FleetStore store, RandomGenerator random) {
+        boolean relayUsable = StoreRelay.usableWith(settings.bounds());
+        return new TableWatcher(
+                store,
+                Table.TARGETS,
+                timers,
+                random,
+                relayUsable ? RELAYED_TARGET_POLL_INTERVAL : TARGET_POLL_INTERVAL,
+                relayUsable ? LONG_POLL_WAIT : Duration.ZERO,
+                directory);
+    }
+
     private ArrivedWorkExchange createArrivedWork(
             ServiceLoads loads, PromptPlacement promptPlacement, IngressMetrics metrics) {
         return new ArrivedWorkExchange(
