--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/FleetSize.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/FleetSize.java
@@ -33,10 +33,9 @@
     /** Smaller differences are not worth an order. */
     private static final double MINIMUM_STEP_DOWN_FRACTION = 0.05;
 
-    private static final double MINIMUM_UTILISATION = 0.35;
-    private static final double MAXIMUM_UTILISATION = 0.7;
-    /** Fraction of the requests that may wait longer than their objective allows. */
-    private static final double LATE_FRACTION = 0.05;
+    /** Runners beyond the busy ones, per square root of these; with 2, about 2% of the requests have to wait. */
+    private static final double STAFFING_MARGIN = 2;
+
     /** Fraction of the slots, and of the objective, that requests at a runner may take up before more are planned. */
     private static final double MAXIMUM_LOAD_FRACTION = 0.5;
 
@@ -229,18 +228,13 @@
     }
 
     /**
-     * Returns the runners that process the work at a utilisation at which few requests wait longer than their objective
-     * allows. The waiting time of a queue with random arrivals exceeds t with a probability of about exp(-t (1 - u) / s)
-     * at utilisation u and a service time of s.
+     * Returns the runners that process the work with short queues, by square-root staffing: the runners that the work keeps
+     * busy, and a margin that grows with the square root of their number, because the fluctuations of independent arrivals
+     * do. The choice of targets by work lets the runners share their queues nearly as if they had one.
      */
     private static double runners(ArrivedWork.Kind work) {
-        if (work.requests() <= 0) {
-            return work.milliseconds() / 1000 / MAXIMUM_UTILISATION;
-        }
-        double service = work.milliseconds() / work.requests();
-        double slack = Math.max(1, work.objectiveMilliseconds() / work.requests() - service);
-        double utilisation = 1 + Math.log(LATE_FRACTION) * service / slack;
-        return work.milliseconds() / 1000 / Math.max(MINIMUM_UTILISATION, Math.min(MAXIMUM_UTILISATION, utilisation));
+        double busy = work.milliseconds() / 1000;
+        return busy + STAFFING_MARGIN * Math.sqrt(busy);
     }
 
     /**
