--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/CallerMemory.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/CallerMemory.java
@@ -111,7 +111,9 @@
         if (own > capacity / SMALL_DIVISOR) {
             return false;
         }
+        // A response is of a request that may have run, so that its connection must not be closed for its address.
         return after <= ALMOST_FULL * capacity
+                || holder.busy
                 || heldByAddress.getOrDefault(holder.address, 0L) + bytes <= capacity / ADDRESS_DIVISOR
                 || hasLarger(holder, bytes);
     }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
@@ -72,6 +72,7 @@
     private final Vertx vertx;
     private final TimerService timers;
     private final MetricRegistry registry = new MetricRegistry();
+    private final IngressMetrics metrics = new IngressMetrics(registry);
     private final ConfigurationHolder configuration;
     private final TargetDirectory directory;
     private final TableWatcher configurationWatcher;
@@ -85,14 +86,17 @@
     private final PromptQuarantine promptQuarantine;
     private final EventLoopMonitor eventLoopMonitor;
     private final IngressServer server;
-    private final IngressMetrics metrics;
     private final CallerBounds callerBounds;
     private final CallerMemory callerMemory;
     private boolean draining;
 
     /** Returns the number of connections that all listeners of a process may have open, with those that are being closed. */
     public static int maximumConnections(IngressSettings settings) {
-        return settings.callerBounds(0, ProcessLimits.openFiles()).connections() + CONNECTIONS_BESIDE_CALLERS;
+        return callerBounds(settings).connections() + CONNECTIONS_BESIDE_CALLERS;
+    }
+
+    private static CallerBounds callerBounds(IngressSettings settings) {
+        return settings.callerBounds(Runtime.getRuntime().maxMemory(), ProcessLimits.openFiles());
     }
 
     /** Creates an ingress whose memory for request bodies is a part of the heap of the process. */
@@ -158,7 +162,6 @@
                 coordinator,
                 timers,
                 List.of(configurationWatcher, targetWatcher, coordinator.watcher()));
-        this.metrics = new IngressMetrics(registry);
         this.promptQuarantine =
                 new PromptQuarantine(settings, broadcaster, directory, coordinator, store, timers, random, metrics);
         TargetCrashDetector crashDetector = new TargetCrashDetector(
@@ -187,7 +190,7 @@
                 eventLoopMonitor,
                 bodyMemory,
                 () -> draining);
-        this.callerBounds = settings.callerBounds(Runtime.getRuntime().maxMemory(), ProcessLimits.openFiles());
+        this.callerBounds = callerBounds(settings);
         this.callerMemory = new CallerMemory(callerBounds.memoryBytes());
         this.server = new IngressServer(vertx, context, this::requestsPerTarget, callerBounds, callerMemory);
         registerGauges(bodyMemory);
