--- a/fireflywalk-core/src/test/java/io/fireflywalk/core/admission/ReturnScheduleProperties.java
+++ b/fireflywalk-core/src/test/java/io/fireflywalk/core/admission/ReturnScheduleProperties.java
@@ -6,11 +6,11 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.Random;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.DoubleRange;
 import net.jqwik.api.constraints.IntRange;
-import org.junit.jupiter.api.Test;
 
 /** Guards against callers that return too soon, too late to be served, or all at the same time. */
 class ReturnScheduleProperties {
@@ -30,7 +30,7 @@
     }
 
     /** Guards against refused callers that overtake each other: 40 are refused at once while 20 complete a second. */
-    @Test
+    @Example
     void callersReturnAtTheDrainRateAndRoughlyInTheirOrder() {
         ReturnSchedule schedule = new ReturnSchedule(new Random(7));
         long[] delays = new long[40];
@@ -46,7 +46,7 @@
     }
 
     /** Guards against a rank that is kept for ever, and against memory that callers can fill. */
-    @Test
+    @Example
     void returningRequestKeepsItsRankOnceAndMemoryIsBounded() {
         ReturningRequests returning = new ReturningRequests();
         returning.recordRefusal(1, 100);
@@ -59,7 +59,7 @@
     }
 
     /** Guards against a rate that one burst or two old completions feign. */
-    @Test
+    @Example
     void completionRateFollowsTheLastSeconds() {
         CompletionRate rate = new CompletionRate();
         assertEquals(0, rate.perSecond(0));
