--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
@@ -145,7 +145,6 @@
         this.datagrams = new PeerDatagrams(vertx);
         FleetBroadcaster broadcaster = new FleetBroadcaster(datagrams, settings, coordinator, random);
         PlacementBroadcaster placementBroadcaster = new PlacementBroadcaster(broadcaster, timers, directory);
-        this.metrics = new IngressMetrics(registry);
         ServiceLoads loads = new ServiceLoads(platform.features().contains(DeploymentFeature.CONTENTION));
         this.arrivedWork = createArrivedWork(loads, promptPlacement, metrics);
         placementBroadcaster.onPlacement(arrivedWork::countPlacement);
