--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
@@ -144,8 +144,9 @@
         this.datagrams = new PeerDatagrams(vertx);
         FleetBroadcaster broadcaster = new FleetBroadcaster(datagrams, settings, coordinator, random);
         PlacementBroadcaster placementBroadcaster = new PlacementBroadcaster(broadcaster, timers, directory);
-        ServiceLoads loads = new ServiceLoads(platform.features().contains(DeploymentFeature.CONTENTION));
-        this.arrivedWork = createArrivedWork(loads, promptPlacement, metrics);
+        boolean contention = platform.features().contains(DeploymentFeature.CONTENTION);
+        ServiceLoads loads = new ServiceLoads(contention);
+        this.arrivedWork = createArrivedWork(contention, promptPlacement, metrics);
         placementBroadcaster.onPlacement(arrivedWork::countPlacement);
         this.fleetScaler =
                 createFleetScaler(platform, metrics, new StageChangeBroadcaster(broadcaster, timers, directory));
@@ -209,7 +210,7 @@
     }
 
     private ArrivedWorkExchange createArrivedWork(
-            ServiceLoads loads, PromptPlacement promptPlacement, IngressMetrics metrics) {
+            boolean followsDemand, PromptPlacement promptPlacement, IngressMetrics metrics) {
         return new ArrivedWorkExchange(
                 settings,
                 datagrams,
@@ -218,7 +219,7 @@
                 directory,
                 promptPlacement,
                 new ArrivedWorkCounter(RunnerLatencyModel.defaults()),
-                service -> loads.byWork(service).isPresent(),
+                service -> followsDemand,
                 timers,
                 metrics);
     }
