--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/EnvironmentSettings.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/EnvironmentSettings.java
@@ -22,6 +22,8 @@
     static final String QUOTA_OVERSHOOT = "INGRESS_QUOTA_OVERSHOOT";
     /** Tokens by which a quota may be exceeded in a window. */
     static final String QUOTA_SLACK = "INGRESS_QUOTA_SLACK_TOKENS";
+    /** Files, with sockets, that the process may have open; the operating system's limit may state another number. */
+    static final String OPEN_FILES = "INGRESS_OPEN_FILES";
 
     private EnvironmentSettings() {}
 
@@ -53,7 +55,9 @@
                 settings.reports(),
                 changed,
                 Optional.of(features),
-                settings.callerLimits());
+                number(environment, OPEN_FILES)
+                        .map(files -> settings.callerSettings().withOpenFiles(files.longValue()))
+                        .or(settings::callerLimits));
         result.requireValid("environment");
         return result;
     }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressSettings.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressSettings.java
@@ -132,6 +132,20 @@
             Optional<Integer> connections,
             Optional<Integer> internalConnections,
             Optional<Long> memoryBytes) {
+        /** Returns the settings of a process that may open a number of files; a stated limit of connections stays. */
+        CallerSettings withOpenFiles(long files) {
+            return new CallerSettings(
+                    headBytes,
+                    headLines,
+                    foldedLines,
+                    emptyLineBytes,
+                    pipelinedRequests,
+                    headMilliseconds,
+                    connections.or(() -> Optional.of(CallerBounds.connectionsFor(files))),
+                    internalConnections,
+                    memoryBytes);
+        }
+
         /** Returns settings that state nothing. */
         static CallerSettings defaults() {
             return new CallerSettings(
@@ -147,9 +161,13 @@
         }
     }
 
+    CallerSettings callerSettings() {
+        return callerLimits.orElseGet(CallerSettings::defaults);
+    }
+
     /** Returns the limits that protect a process with a heap and a number of files that it may open from its callers. */
     public CallerBounds callerBounds(long heapBytes, long openFiles) {
-        CallerSettings stated = callerLimits.orElseGet(CallerSettings::defaults);
+        CallerSettings stated = callerSettings();
         return new CallerBounds(
                 stated.headBytes().orElse(CallerBounds.DEFAULT_HEAD_BYTES),
                 stated.headLines().orElse(CallerBounds.DEFAULT_HEAD_LINES),
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/EnvironmentSettingsTest.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/EnvironmentSettingsTest.java
@@ -42,6 +42,12 @@
         assertEquals(Optional.of(190_000.0), settings.bounds().quotaSlackTokens());
     }
 
+    @Test
+    void connectionsOfCallersFollowTheStatedNumberOfOpenFilesNotThatOfTheOperatingSystem() throws Exception {
+        IngressSettings settings = EnvironmentSettings.apply(SETTINGS, Map.of("INGRESS_OPEN_FILES", "4100"));
+        assertEquals(2050, settings.callerBounds(220_000_000, 64).connections());
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"eight", "-1"})
     void invalidNumberIsRefused(String window) {
