--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/CallerBounds.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/CallerBounds.java
@@ -12,7 +12,7 @@
  * @param pipelinedRequests requests of a connection that are decoded and not answered; more wait undecoded
  * @param headTime time from the first byte of a head to its end, where the configuration states none
  * @param connections open connections of callers
- * @param internalConnections open connections of each of the other listeners
+ * @param internalConnections open connections of the other listeners together
  * @param memoryBytes memory for all that is held on behalf of callers, except for request bodies
  */
 public record CallerBounds(
@@ -38,9 +38,11 @@
     public static final int MINIMUM_PIPELINED_REQUESTS = 6;
 
     public static final Duration DEFAULT_HEAD_TIME = Duration.ofSeconds(10);
-    public static final int DEFAULT_INTERNAL_CONNECTIONS = 128;
+    private static final int MAXIMUM_INTERNAL_CONNECTIONS = 128;
     /** The other half is for connections to targets, of which there are as many as requests in progress. */
     private static final int DESCRIPTORS_DIVISOR = 2;
+
+    private static final int INTERNAL_DESCRIPTORS_DIVISOR = 10;
     /** Files of classes, connections to one target and to the store, and connections that are opened and closed. */
     private static final int RESERVED_DESCRIPTORS = 216;
 
@@ -51,4 +53,10 @@
         long connections = Math.min(descriptors / DESCRIPTORS_DIVISOR, descriptors - RESERVED_DESCRIPTORS);
         return (int) Math.max(MINIMUM_CONNECTIONS, Math.min(Integer.MAX_VALUE, connections));
     }
+
+    /** Returns the connections of the other listeners for a process that may open a number of files. */
+    public static int internalConnectionsFor(long descriptors) {
+        long connections = Math.min(MAXIMUM_INTERNAL_CONNECTIONS, descriptors / INTERNAL_DESCRIPTORS_DIVISOR);
+        return (int) Math.max(MINIMUM_CONNECTIONS, connections);
+    }
 }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ServeCommand.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ServeCommand.java
@@ -39,7 +39,7 @@
                         .setFileCachingEnabled(false));
         Vertx vertx = Vertx.builder()
                 .with(options)
-                .withTransport(new BoundedReadTransport(IngressDaemon.maximumConnections(settings)))
+                .withTransport(new BoundedReadTransport(IngressDaemon.acceptBounds(settings)))
                 .build();
         Context context = vertx.getOrCreateContext();
         context.runOnContext(ignored -> {
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
@@ -18,6 +18,7 @@
 import io.fireflywalk.daemon.ingress.FleetStore.Table;
 import io.fireflywalk.daemon.ingress.TargetCrashDetector.Connector;
 import io.fireflywalk.daemon.operators.MetricsRenderer;
+import io.fireflywalk.services.http.AcceptBounds;
 import io.fireflywalk.services.time.TimerService;
 import io.reactivex.rxjava3.core.Completable;
 import io.vertx.core.Future;
@@ -70,8 +71,8 @@
     private static final Duration LISTEN_RETRY_DELAY = Duration.ofMillis(250);
     private static final Duration DRAIN_CHECK_INTERVAL = Duration.ofMillis(50);
 
-    /** Connections to the other listeners, and of callers that are being closed. */
-    private static final int CONNECTIONS_BESIDE_CALLERS = 32;
+    /** Connections over the limit of callers that are being closed. */
+    private static final int CLOSING_CONNECTIONS = 16;
 
     private final IngressSettings settings;
     private final Vertx vertx;
@@ -97,9 +98,13 @@
     private final CallerMemory callerMemory;
     private boolean draining;
 
-    /** Returns the number of connections that all listeners of a process may have open, with those that are being closed. */
-    public static int maximumConnections(IngressSettings settings) {
-        return callerBounds(settings).connections() + CONNECTIONS_BESIDE_CALLERS;
+    /** Returns the bounds of the connections that the listeners of a process accept. */
+    public static AcceptBounds acceptBounds(IngressSettings settings) {
+        CallerBounds bounds = callerBounds(settings);
+        return new AcceptBounds(
+                IngressSettings.port(settings.listen().callers()),
+                bounds.connections() + CLOSING_CONNECTIONS,
+                bounds.internalConnections());
     }
 
     private static CallerBounds callerBounds(IngressSettings settings) {
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressSettings.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressSettings.java
@@ -176,7 +176,7 @@
                 stated.pipelinedRequests().orElse(CallerBounds.DEFAULT_PIPELINED_REQUESTS),
                 stated.headMilliseconds().map(Duration::ofMillis).orElse(CallerBounds.DEFAULT_HEAD_TIME),
                 stated.connections().orElse(CallerBounds.connectionsFor(openFiles)),
-                stated.internalConnections().orElse(CallerBounds.DEFAULT_INTERNAL_CONNECTIONS),
+                stated.internalConnections().orElse(CallerBounds.internalConnectionsFor(openFiles)),
                 stated.memoryBytes().orElse(CallerMemory.bytesOfHeap(heapBytes)));
     }
 
--- a/fireflywalk-services/src/main/java/io/fireflywalk/services/http/BoundedReadTransport.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/http/BoundedReadTransport.java
@@ -32,15 +32,15 @@
 
     /** Creates a transport whose servers accept any number of connections. */
     public BoundedReadTransport() {
-        this(Integer.MAX_VALUE);
+        this(AcceptBounds.NONE);
     }
 
     /**
-     * Creates a transport with a bound for the open connections of all its servers together. A connection over it is
-     * closed where it is accepted, so that a burst cannot use up the file descriptors before an event loop has seen it.
+     * Creates a transport with bounds for the open connections of its servers. A connection over them is closed where it
+     * is accepted, so that a burst cannot use up the file descriptors before an event loop has seen it.
      */
-    public BoundedReadTransport(int maximumConnections) {
-        this.implementation = new Implementation(new AcceptLimit(maximumConnections));
+    public BoundedReadTransport(AcceptBounds bounds) {
+        this.implementation = new Implementation(new AcceptLimit(bounds));
     }
 
     @Override
