Hold requests until the first reads of the store have ended

Callers that connected to a process right after its start were refused with 503 (configuration_stale, or no_target): the port is open some 100 ms before the configuration and the targets have been read. After a loss of power of all instances, many of these requests are the second and last attempt of a caller.

--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/CallerBody.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/CallerBody.java
@@ -76,6 +76,11 @@
         }
     }
 
+    /** Tells whether the body is not read because it waits for memory. */
+    boolean isPaused() {
+        return reservation.map(Reservation::state).filter(State.WAITING::equals).isPresent();
+    }
+
     /** Returns the length that the head states, or -1 for a body in chunks. */
     private long statedLength() {
         if (request.headers().contains("transfer-encoding")) {
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/CallerExchange.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/CallerExchange.java
@@ -68,6 +68,11 @@
         body.read(this, maximumBytes, account, timeout, onComplete, onRejected);
     }
 
+    /** Tells whether the body is not read because it waits for memory. */
+    boolean isBodyPaused() {
+        return body.isPaused();
+    }
+
     /** Lets the body go, because no other attempt can need it. */
     void releaseBody() {
         body.release();
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
@@ -198,7 +198,8 @@
                 () -> draining);
         this.callerBounds = callerBounds(settings);
         this.callerMemory = new CallerMemory(callerBounds.memoryBytes());
-        this.server = new IngressServer(vertx, context, this::requestsPerTarget, callerBounds, callerMemory);
+        this.server =
+                new IngressServer(vertx, context, this::requestsPerTarget, callerBounds, callerMemory, this::hasLoaded);
         registerGauges(bodyMemory, requestQueue);
     }
 
@@ -395,8 +396,12 @@
         });
     }
 
+    private boolean hasLoaded() {
+        return configuration.current().isPresent() && targetWatcher.loaded();
+    }
+
     private void checkReadiness(HttpServerRequest request) {
-        boolean ready = !draining && configuration.current().isPresent() && targetWatcher.loaded();
+        boolean ready = !draining && hasLoaded();
         request.response().setStatusCode(ready ? 200 : 503).end();
     }
 
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressServer.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressServer.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import org.jboss.logging.Logger;
 
 /** HTTP server for callers: authenticates and routes each request. Confined to one event loop. */
@@ -36,6 +37,7 @@
     private final Vertx vertx;
     private final CallerBounds bounds;
     private final ListenerGuard guard;
+    private final StartupGate gate;
     private final Set<CallerExchange> requestsInFlight = new HashSet<>();
     private Optional<HttpServer> listener = Optional.empty();
     private boolean rejectingNewRequests;
@@ -45,8 +47,10 @@
             IngressContext context,
             TargetConcurrencyLimits limits,
             CallerBounds bounds,
-            CallerMemory memory) {
+            CallerMemory memory,
+            BooleanSupplier loaded) {
         this.bounds = bounds;
+        this.gate = new StartupGate(context.timers(), loaded);
         this.guard = new ListenerGuard(context.timers(), memory, bounds, bounds.connections(), context.metrics());
         this.context = context;
         this.limits = limits;
@@ -57,6 +61,7 @@
     Future<HttpServer> listen(String host, int port) {
         var unused =
                 context.timers().repeat(IDLE_CHECK_INTERVAL, "idle connections", this::closeConnectionsOfSilentCallers);
+        gate.start();
         return vertx.createHttpServer(guard.options().setHandle100ContinueAutomatically(true))
                 .connectionHandler(guard::connected)
                 .invalidRequestHandler(this::refuseInvalid)
@@ -142,6 +147,25 @@
         CallerExchange caller = new CallerExchange(context, request, connection, requestsInFlight::remove);
         requestsInFlight.add(caller);
         caller.onStop(() -> reject(caller, request, shuttingDown()));
+        if (gate.hold(() -> dispatchHeld(caller, request))) {
+            request.pause();
+            context.metrics().count("requests_held_at_start");
+        } else {
+            dispatchOrReject(caller, request);
+        }
+    }
+
+    /** Dispatches a request that was paused; its caller may have left meanwhile. */
+    private void dispatchHeld(CallerExchange caller, HttpServerRequest request) {
+        if (requestsInFlight.contains(caller)) {
+            dispatchOrReject(caller, request);
+            if (!caller.isBodyPaused()) {
+                request.resume();
+            }
+        }
+    }
+
+    private void dispatchOrReject(CallerExchange caller, HttpServerRequest request) {
         try {
             dispatch(caller, request);
         } catch (FireflywalkException exception) {
