Plan decode runners by their slots instead of by the objective

Requests at a decode runner run together; now half of the slots bound them, generation counts as the time of a stream divided by half of the slots, and the margin beyond the busy decode runners is one square root instead of two.

Until the load has been measured, twice the baseline is planned instead of 1.5 times.

--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/ArrivedWorkCounter.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/ArrivedWorkCounter.java
@@ -11,8 +11,8 @@
  * Counts the work that arrives at this instance, by service, whether or not a target accepts it. Not thread-safe.
  */
 public final class ArrivedWorkCounter {
-    /** Streams that a decode runner generates at a time on average; with fewer, it is idle most of the time. */
-    private static final double CONCURRENT_STREAMS = 4;
+    /** Fraction of its slots in which a decode runner generates streams, on average; the rest is for waves. */
+    private static final double USED_SLOTS_FRACTION = 0.5;
     /** Age of the latest response after which the load of a target is not known well enough. */
     private static final long LOAD_LIFETIME_NANOSECONDS = 1_000_000_000L;
     /** Bounds the memory if a configuration names very many services; all totals then start again. */
@@ -56,9 +56,10 @@
      * responses are far shorter, and a step may generate several tokens.
      *
      * @param milliseconds time from the first to the last event
+     * @param slots concurrent requests of the runner
      */
-    public void countGeneration(String service, double milliseconds) {
-        double work = Math.max(0, milliseconds) / CONCURRENT_STREAMS;
+    public void countGeneration(String service, double milliseconds, int slots) {
+        double work = Math.max(0, milliseconds) / Math.max(1, USED_SLOTS_FRACTION * slots);
         add(service, new ArrivedWork(Kind.NONE, new Kind(0, work, 0), Load.NONE, Load.NONE));
     }
 
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/FleetSize.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/FleetSize.java
@@ -12,8 +12,11 @@
  * thread-safe.
  */
 public final class FleetSize {
-    /** Planned targets per baseline target until the load has been measured: a wave's peak, less the cost of a surge. */
-    private static final double UNMEASURED_FACTOR = 1.5;
+    /**
+     * Planned targets per baseline target until the load has been measured. The first prompts meet empty caches, and the
+     * loss of a zone must leave more than the baseline.
+     */
+    private static final double UNMEASURED_FACTOR = 2;
     /** Planned targets per baseline target of the constant plan, if preemptible targets are offered and if not. */
     private static final double CONSTANT_PREEMPTIBLE_FACTOR = 3;
 
@@ -33,8 +36,10 @@
     /** Smaller differences are not worth an order. */
     private static final double MINIMUM_STEP_DOWN_FRACTION = 0.05;
 
-    /** Runners beyond the busy ones, per square root of these; with 2, about 2% of the requests have to wait. */
-    private static final double STAFFING_MARGIN = 2;
+    /** Prefill runners beyond the busy ones, per square root of these; with 2, about 2% of the prompts have to wait. */
+    private static final double PREFILL_MARGIN = 2;
+    /** The same for decode runners, whose requests share the runner instead of waiting for each other. */
+    private static final double DECODE_MARGIN = 1;
 
     /** Fraction of the slots, and of the objective, that requests at a runner may take up before more are planned. */
     private static final double MAXIMUM_LOAD_FRACTION = 0.5;
@@ -174,11 +179,16 @@
         });
         Basis basis = basis(now);
         double prefillNeeded = Math.max(
-                runners(demand.prefill()),
-                runnersForLoad(demand.prefill(), demand.prefillLoad(), facts.prefillTargets(), facts));
+                runners(demand.prefill(), PREFILL_MARGIN),
+                runnersForLoad(
+                        demand.prefill(),
+                        demand.prefillLoad(),
+                        facts.prefillTargets(),
+                        Math.min(facts.slots(), promptsPerObjective(demand.prefill())),
+                        facts));
         double decodeNeeded = Math.max(
-                runners(demand.decode()),
-                runnersForLoad(demand.decode(), demand.decodeLoad(), facts.decodeTargets(), facts));
+                runners(demand.decode(), DECODE_MARGIN),
+                runnersForLoad(demand.decode(), demand.decodeLoad(), facts.decodeTargets(), facts.slots(), facts));
         double slowPrefill = facts.staged() ? 1 : RunnerLatencyModel.defaults().decodePrefillFactor();
         double needed = slowPrefill * prefillNeeded + decodeNeeded;
         int required = Math.max(baselineTargets, (int) Math.ceil(needed));
@@ -232,22 +242,28 @@
      * busy, and a margin that grows with the square root of their number, because the fluctuations of independent arrivals
      * do. The choice of targets by work lets the runners share their queues nearly as if they had one.
      */
-    private static double runners(ArrivedWork.Kind work) {
+    private static double runners(ArrivedWork.Kind work, double margin) {
         double busy = work.milliseconds() / 1000;
-        return busy + STAFFING_MARGIN * Math.sqrt(busy);
+        return busy + margin * Math.sqrt(busy);
+    }
+
+    /** Returns the prompts that a prefill runner processes within their objective. */
+    private static double promptsPerObjective(ArrivedWork.Kind work) {
+        return work.milliseconds() > 0 ? work.objectiveMilliseconds() / work.milliseconds() : 0;
     }
 
     /**
-     * Returns the runners at which the requests in progress take up half of the slots or half of the objective, whichever
-     * is less. Exceeds the other figure if runners are slower than the latency model. Limited to the constant plan,
-     * because requests also accumulate when more runners do not help.
+     * Returns the runners at which the requests in progress take up half of what a runner holds: its slots or, at prefill
+     * runners, which process one prompt after the other, the prompts of an objective. The requests at a decode runner
+     * run together, so that only its slots bound them. Exceeds the other figure if runners are slower than the latency
+     * model. Limited to the constant plan, because requests also accumulate when more runners do not help.
      */
-    private double runnersForLoad(ArrivedWork.Kind work, double meanLoad, int targets, Facts facts) {
+    private double runnersForLoad(
+            ArrivedWork.Kind work, double meanLoad, int targets, double requestsPerRunner, Facts facts) {
         if (work.requests() <= 0 || work.milliseconds() <= 0) {
             return 0;
         }
-        double requestsPerObjective = work.objectiveMilliseconds() / work.milliseconds();
-        double allowed = Math.max(1, MAXIMUM_LOAD_FRACTION * Math.min(facts.slots(), requestsPerObjective));
+        double allowed = Math.max(1, MAXIMUM_LOAD_FRACTION * requestsPerRunner);
         double limit = constantTargets(facts.preemptible()) / 2.0 / zoneLossFactor(facts);
         return Math.min(limit, meanLoad * targets / allowed);
     }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/ArrivedWorkExchange.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/ArrivedWorkExchange.java
@@ -13,6 +13,7 @@
 import io.fireflywalk.core.ingress.RequestDescription;
 import io.fireflywalk.core.ingress.RequestKind;
 import io.fireflywalk.core.ingress.ServiceProfile;
+import io.fireflywalk.core.ingress.TargetEntry;
 import io.fireflywalk.daemon.ingress.FleetCoordinator.Peer;
 import io.fireflywalk.services.time.TimerService;
 import java.nio.charset.StandardCharsets;
@@ -101,9 +102,9 @@
     }
 
     /** Counts the generation of a stream that has ended. */
-    void countGeneration(String service, Duration duration) {
-        if (demandBased.test(service)) {
-            counter.countGeneration(service, duration.toNanos() / 1e6);
+    void countGeneration(TargetEntry runner, Duration duration) {
+        if (demandBased.test(runner.service())) {
+            counter.countGeneration(runner.service(), duration.toNanos() / 1e6, runner.slots());
         }
     }
 
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestForwarder.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestForwarder.java
@@ -387,7 +387,8 @@
     private void onCompleteResponse(TargetExchange exchange, int status) {
         exchange.complete(true);
         quarantine.onAnswer();
-        context.arrivedWork().countGeneration(service, caller.elapsed().minusMillis(firstByteMilliseconds));
+        context.arrivedWork()
+                .countGeneration(exchange.target().entry(), caller.elapsed().minusMillis(firstByteMilliseconds));
         finish("answered", status, true, "");
         caller.endStream();
     }
