Learn slow transfers of KV caches and avoid the runners that cause them

While the links of some runners are slow, long prompts waited for the transfer of their KV cache, and the slots that they held kept short prompts waiting. No decision knew of it: placement adds the time of a transfer on a usual link.

Instances tell each other of slow transfers (transfer-delay), since one instance sees one or two a second.

--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressContext.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressContext.java
@@ -25,6 +25,7 @@
         TargetChooser targetChooser,
         PromptPlacement promptPlacement,
         PlacementBroadcaster placementBroadcaster,
+        TransferDelayBroadcaster transferDelays,
         ArrivedWorkExchange arrivedWork,
         TargetCrashDetector crashDetector,
         PromptQuarantine promptQuarantine,
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
@@ -184,6 +184,7 @@
                 createTargetChooser(loads, promptPlacement, metrics, random),
                 promptPlacement,
                 placementBroadcaster,
+                new TransferDelayBroadcaster(broadcaster, timers, directory, metrics),
                 arrivedWork,
                 crashDetector,
                 promptQuarantine,
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestForwarder.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestForwarder.java
@@ -347,8 +347,8 @@
         if (finished || exchange.ended()) {
             return;
         }
-        if (!executionStarted && prefill.cacheSource().isPresent()) {
-            exchange.target().recordKvCacheFetched(summary, context.timers().monotonicNanoseconds());
+        if (!executionStarted) {
+            prefill.recordCacheFetched(exchange);
         }
         markExecutionStarted();
         Buffer completeEvents = events.accept(bytes);
