Return the figures of all candidates of a decision

Operators could see why a request went to a target only in its log line, after it was sent. The classes that decide returned their choice, and changed state or drew random numbers to make it, so they could not be asked beforehand.

WorkBasedPicker, TargetPicker, PromptPlacement, WaitQueue, ReturnSchedule and AccountAllowance have a method evaluate, which returns the decision or the figures of all candidates with the code that decides, and changes nothing. TargetState names why a target is not available.

The pickers still choose in one pass without an allocation for each candidate.

--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/admission/AccountDeficits.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/admission/AccountDeficits.java
@@ -14,6 +14,9 @@
     /** Index of accounts beyond the bound. */
     private static final int OTHER = 0;
 
+    /** Excess of an account that has had no request. */
+    private static final double INITIAL_EXCESS = 0.5;
+
     private final ShareLedger ledger;
     private final Map<String, Integer> indexes = new HashMap<>();
     private long settledAt = Long.MIN_VALUE / 2;
@@ -36,7 +39,11 @@
 
     /** Returns the excess of an account over its share, from 0 (far below) to 1 (far above). */
     double excess(String account) {
-        return (1 - ledger.normalizedBalance(index(account))) / 2;
+        Integer known = indexes.get(account);
+        if (known == null && indexes.size() < MAXIMUM_ACCOUNTS) {
+            return INITIAL_EXCESS;
+        }
+        return (1 - ledger.normalizedBalance(known == null ? OTHER : known)) / 2;
     }
 
     private int index(String account) {
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/admission/ReturnSchedule.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/admission/ReturnSchedule.java
@@ -39,15 +39,27 @@
         if (completionsPerSecond <= 0) {
             return Optional.empty();
         }
-        long drainedAt =
-                now + (long) Math.min(MAXIMUM_NANOSECONDS, backlog / completionsPerSecond * NANOSECONDS_PER_SECOND);
-        long returnAt = Math.min(now + MAXIMUM_NANOSECONDS, Math.max(drainedAt, nextReturnAt));
+        long returnAt = returnAt(backlog, completionsPerSecond, now);
         nextReturnAt = returnAt + (long) Math.min(MAXIMUM_NANOSECONDS, NANOSECONDS_PER_SECOND / completionsPerSecond);
         double factor = 1 - JITTER / 2 + JITTER * random.nextDouble();
         long delay = (long) ((returnAt - now) * factor);
         return Optional.of(limit(Duration.ofNanos(delay), remaining));
     }
 
+    /** Returns the time after which a caller should return if it were refused now, without its random part. */
+    public Optional<Duration> evaluate(
+            int backlog, double completionsPerSecond, Optional<Duration> remaining, long now) {
+        return completionsPerSecond <= 0
+                ? Optional.empty()
+                : Optional.of(limit(Duration.ofNanos(returnAt(backlog, completionsPerSecond, now) - now), remaining));
+    }
+
+    private long returnAt(int backlog, double completionsPerSecond, long now) {
+        long drainedAt =
+                now + (long) Math.min(MAXIMUM_NANOSECONDS, backlog / completionsPerSecond * NANOSECONDS_PER_SECOND);
+        return Math.min(now + MAXIMUM_NANOSECONDS, Math.max(drainedAt, nextReturnAt));
+    }
+
     /** Limits the time after which a caller should return to the part of its remaining time after which it does. */
     public static Duration limit(Duration delay, Optional<Duration> remaining) {
         long longest = remaining.map(left -> left.toNanos() / USEFUL_PART).orElse(Long.MAX_VALUE);
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/admission/WaitQueue.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/admission/WaitQueue.java
@@ -1,5 +1,6 @@
 package io.fireflywalk.core.admission;
 
+import io.fireflywalk.core.admission.AdmissionDecision.State;
 import io.fireflywalk.core.admission.PlaceEstimate.Places;
 import io.fireflywalk.core.admission.QueueDecision.Reason;
 import java.util.ArrayList;
@@ -81,6 +82,20 @@
 
     private record Entry(WaitingRequest request, long waitsUntil) {}
 
+    /** Decision on a request, with its longest wait and the request that it displaces if it is queued. */
+    private record Assessment(QueueDecision decision, long waitNanoseconds, Optional<Entry> displaced) {
+        Assessment(QueueDecision decision) {
+            this(decision, 0, Optional.empty());
+        }
+    }
+
+    /**
+     * Decision that a request would get.
+     *
+     * @param position position that the request would have in the queue; 1 is the first
+     */
+    public record Evaluation(QueueDecision decision, int position) {}
+
     /** Returns the number of waiting requests. */
     public int size() {
         return waiting.size();
@@ -97,43 +112,68 @@
      */
     public List<QueueDecision> offer(WaitingRequest request, Places places, long now) {
         deficits.markActive(request.account(), now);
+        Assessment assessment = assess(request, places, now);
+        QueueDecision decision = assessment.decision();
+        if (decision.outcome().state() == State.QUEUED) {
+            return enqueue(request, assessment, now);
+        }
+        if (decision.outcome().state() == State.ADMITTED && decision.reason() != Reason.NO_TARGETS) {
+            deficits.charge(request.account(), request.cost(), now);
+        }
+        return List.of(decision);
+    }
+
+    private List<QueueDecision> enqueue(WaitingRequest request, Assessment assessment, long now) {
+        List<QueueDecision> decisions = new ArrayList<>();
+        assessment.displaced().ifPresent(last -> {
+            waiting.remove(last);
+            decisions.add(QueueDecision.refused(last.request().id(), Reason.DISPLACED));
+        });
+        waiting.add(new Entry(request, now + assessment.waitNanoseconds()));
+        decisions.add(assessment.decision());
+        return decisions;
+    }
+
+    /** Returns the decision that {@link #offer} would make, and changes nothing. */
+    public Evaluation evaluate(WaitingRequest request, Places places, long now) {
+        return new Evaluation(assess(request, places, now).decision(), position(request, now));
+    }
+
+    private Assessment assess(WaitingRequest request, Places places, long now) {
         if (places.targets() == 0) {
-            return List.of(QueueDecision.admitted(request.id(), Reason.NO_TARGETS));
+            return new Assessment(QueueDecision.admitted(request.id(), Reason.NO_TARGETS));
         }
         if (places.free() > waiting.size() && request.earliestAt() <= now) {
-            return List.of(admit(request, Reason.PLACE_FREE, now));
+            return new Assessment(QueueDecision.admitted(request.id(), Reason.PLACE_FREE));
         }
         long expected = expectedWait(request, places.completionsPerSecond(), now);
         if (cannotBeServed(request, expected, places, now)) {
-            return List.of(QueueDecision.refused(request.id(), Reason.DEADLINE, expected));
+            return new Assessment(QueueDecision.refused(request.id(), Reason.DEADLINE, expected));
         }
         long wait = usefulWait(request, expected, places, now);
         if (wait < MINIMUM_WAIT_NANOSECONDS) {
-            return List.of(endWait(request, places, now));
+            return new Assessment(decisionAfterWait(request, places, now));
         }
-        return enqueue(new Entry(request, now + wait), expected, now);
+        return assessEntry(new Entry(request, now + wait), wait, expected, now);
     }
 
-    private List<QueueDecision> enqueue(Entry entry, long expected, long now) {
-        List<QueueDecision> decisions = new ArrayList<>();
+    private Assessment assessEntry(Entry entry, long wait, long expected, long now) {
         WaitingRequest request = entry.request();
         long ofAccount = waiting.stream()
                 .filter(other -> other.request().account().equals(request.account()))
                 .count();
         if (ofAccount >= settings.queuedPerAccount()) {
-            return List.of(QueueDecision.refused(request.id(), Reason.QUEUE_LIMIT));
+            return new Assessment(QueueDecision.refused(request.id(), Reason.QUEUE_LIMIT));
         }
+        Optional<Entry> displaced = Optional.empty();
         if (waiting.size() >= settings.queuedTotal()) {
             Entry last = waiting.stream().max(order(now)).orElseThrow();
             if (order(now).compare(entry, last) >= 0) {
-                return List.of(QueueDecision.refused(request.id(), Reason.QUEUE_LIMIT));
+                return new Assessment(QueueDecision.refused(request.id(), Reason.QUEUE_LIMIT));
             }
-            waiting.remove(last);
-            decisions.add(QueueDecision.refused(last.request().id(), Reason.DISPLACED));
+            displaced = Optional.of(last);
         }
-        waiting.add(entry);
-        decisions.add(QueueDecision.queued(request.id(), expected));
-        return decisions;
+        return new Assessment(QueueDecision.queued(request.id(), expected), wait, displaced);
     }
 
     /**
@@ -175,11 +215,16 @@
         if (completionsPerSecond <= 0) {
             return -1;
         }
+        return (long) (position(request, now) / completionsPerSecond * NANOSECONDS_PER_SECOND);
+    }
+
+    /** Returns the position of a request after the waiting ones that are at least as urgent. */
+    private int position(WaitingRequest request, long now) {
         Urgency urgency = Urgency.of(request, now);
         long ahead = waiting.stream()
                 .filter(entry -> Urgency.of(entry.request(), now).compareTo(urgency) <= 0)
                 .count();
-        return (long) ((ahead + 1) / completionsPerSecond * NANOSECONDS_PER_SECOND);
+        return (int) ahead + 1;
     }
 
     /**
@@ -213,9 +258,17 @@
 
     /** Sends a request whose wait is over to a target's own queue, unless those are full as well. */
     private QueueDecision endWait(WaitingRequest request, Places places, long now) {
+        QueueDecision decision = decisionAfterWait(request, places, now);
+        if (decision.outcome().state() == State.ADMITTED) {
+            deficits.charge(request.account(), request.cost(), now);
+        }
+        return decision;
+    }
+
+    private QueueDecision decisionAfterWait(WaitingRequest request, Places places, long now) {
         return isRejecting(places, now)
                 ? QueueDecision.refused(request.id(), Reason.WAIT_OVER)
-                : admit(request, Reason.WAIT_OVER, now);
+                : QueueDecision.admitted(request.id(), Reason.WAIT_OVER);
     }
 
     private QueueDecision admit(WaitingRequest request, Reason reason, long now) {
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/error/ErrorKind.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/error/ErrorKind.java
@@ -110,6 +110,11 @@
         return retryable;
     }
 
+    /** Tells whether the response states a time after which the caller may send the request again. */
+    public boolean statesRetryAfter() {
+        return retryable && runState == RunState.NOT_RUN;
+    }
+
     /** Returns the run state of attempts that do not state a more precise one. */
     public RunState runState() {
         return runState;
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/PrefillCalibration.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/PrefillCalibration.java
@@ -6,6 +6,9 @@
  * does not know of make some of them longer, but none shorter. Not thread-safe.
  */
 final class PrefillCalibration {
+    /** Factor until a prefill has been observed. */
+    static final double INITIAL_FACTOR = 1;
+
     /** Fraction of the observations that are below the learned factor. */
     private static final double QUANTILE = 0.3;
     /** Weight of an observation once there are many. */
@@ -14,7 +17,7 @@
     private static final double MINIMUM_FACTOR = 0.2;
     private static final double MAXIMUM_FACTOR = 4;
 
-    private double factor = 1;
+    private double factor = INITIAL_FACTOR;
     private int observations;
 
     /** Returns the learned time as a multiple of the model's. */
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/PromptPlacement.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/PromptPlacement.java
@@ -1,11 +1,13 @@
 package io.fireflywalk.core.ingress;
 
+import io.fireflywalk.core.ingress.DecisionExplanation.Candidate;
 import io.fireflywalk.core.ingress.TargetEntry.Stage;
 import io.fireflywalk.core.membership.RendezvousHashing;
 import java.time.Duration;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -19,6 +21,8 @@
  * runner. Not thread-safe.
  */
 public final class PromptPlacement {
+    /** Prompts of at least this size go to runners of the prefill stage, if there are any. */
+    private static final int LONG_PROMPT_TOKENS = 1024;
     /** Advantage of the home runner of a part that no runner has, so that only one runner computes it. */
     private static final double HOME_BONUS_MILLISECONDS = 25;
     /** Cost of another copy of a shared part, which evicts other parts from the runner's KV cache. */
@@ -103,7 +107,8 @@
 
     /** Returns the time that prefill takes at a service, as a multiple of the latency model's. */
     public double prefillFactor(String service) {
-        return calibration(service).factor();
+        PrefillCalibration known = calibrations.get(service);
+        return known == null ? PrefillCalibration.INITIAL_FACTOR : known.factor();
     }
 
     private PrefillCalibration calibration(String service) {
@@ -138,24 +143,18 @@
             String availabilityZone,
             Optional<ServiceLoad> load,
             long now) {
-        List<TargetState> holders = targets.stream()
-                .filter(target -> target.hasPart(prompt.sharedPart(), now) && target.available(now))
-                .toList();
+        List<TargetState> holders = holders(targets, prompt, now);
         Optional<TargetState> home = holders.isEmpty() ? home(targets, prompt.sharedPart()) : Optional.empty();
-        boolean canDecode =
-                targets.stream().anyMatch(target -> target.entry().stage() != Stage.PREFILL && target.available(now));
+        boolean canDecode = canDecode(targets, now);
         Placement best = null;
         int candidates = 0;
         for (TargetState target : targets) {
-            boolean eligible = target.available(now)
-                    && target.inFlight() < maximumInFlight
-                    && !excluded.contains(target.entry().identifier())
-                    && (canDecode || target.entry().stage() != Stage.PREFILL);
-            if (!eligible) {
+            if (eligibility(target, excluded, maximumInFlight, canDecode, now) != Eligibility.ELIGIBLE) {
                 continue;
             }
             candidates++;
-            Placement placement = place(target, home, holders, prompt, availabilityZone, load, now);
+            double jitter = MAXIMUM_JITTER_MILLISECONDS * random.nextDouble();
+            Placement placement = place(target, home, holders, prompt, availabilityZone, load, jitter, now);
             if (best == null || placement.timeToFirstTokenMilliseconds() < best.timeToFirstTokenMilliseconds()) {
                 best = placement;
             }
@@ -173,6 +172,66 @@
                 candidates));
     }
 
+    /** Returns the figures of all runners for a prompt that no attempt has been made for, without a choice. */
+    public TargetEvaluation evaluate(
+            Collection<TargetState> targets,
+            Set<String> excluded,
+            int maximumInFlight,
+            PromptSummary prompt,
+            String availabilityZone,
+            Optional<ServiceLoad> load,
+            long now) {
+        List<TargetState> holders = holders(targets, prompt, now);
+        Optional<TargetState> home = holders.isEmpty() ? home(targets, prompt.sharedPart()) : Optional.empty();
+        boolean canDecode = canDecode(targets, now);
+        Map<TargetState, Placement> placements = new LinkedHashMap<>();
+        Map<TargetState, Double> costs = new LinkedHashMap<>();
+        for (TargetState target : targets) {
+            Placement placement = place(target, home, holders, prompt, availabilityZone, load, 0, now);
+            placements.put(target, placement);
+            if (eligibility(target, excluded, maximumInFlight, canDecode, now) == Eligibility.ELIGIBLE) {
+                costs.put(target, placement.timeToFirstTokenMilliseconds());
+            }
+        }
+        Map<TargetState, Double> probabilities = JitteredCosts.lowestProbabilities(costs, MAXIMUM_JITTER_MILLISECONDS);
+        List<Candidate> candidates = targets.stream()
+                .map(target -> Candidate.of(
+                        target,
+                        eligibility(target, excluded, maximumInFlight, canDecode, now),
+                        probabilities.getOrDefault(target, 0.0),
+                        Optional.empty(),
+                        Optional.of(placements.get(target).timeToFirstTokenMilliseconds()),
+                        load,
+                        now))
+                .toList();
+        Optional<Placement> best = costs.entrySet().stream()
+                .min(Map.Entry.comparingByValue())
+                .map(entry -> placements.get(entry.getKey()));
+        return new TargetEvaluation("prompt_placement", candidates, Optional.empty(), best);
+    }
+
+    /** Tells whether the prompts of such requests are placed by this class. */
+    public static boolean appliesTo(HostRoute route, RequestDescription description) {
+        return route.kind() == RequestKind.STREAMING && description.promptTokens() >= LONG_PROMPT_TOKENS;
+    }
+
+    private static List<TargetState> holders(Collection<TargetState> targets, PromptSummary prompt, long now) {
+        return targets.stream()
+                .filter(target -> target.hasPart(prompt.sharedPart(), now) && target.available(now))
+                .toList();
+    }
+
+    private static boolean canDecode(Collection<TargetState> targets, long now) {
+        return targets.stream().anyMatch(target -> target.entry().stage() != Stage.PREFILL && target.available(now));
+    }
+
+    private static Eligibility eligibility(
+            TargetState target, Set<String> excluded, int maximumInFlight, boolean canDecode, long now) {
+        return canDecode || target.entry().stage() != Stage.PREFILL
+                ? target.eligibility(excluded, maximumInFlight, now)
+                : Eligibility.OTHER_STAGE;
+    }
+
     private Placement place(
             TargetState target,
             Optional<TargetState> home,
@@ -180,6 +239,7 @@
             PromptSummary prompt,
             String availabilityZone,
             Optional<ServiceLoad> load,
+            double jitterMilliseconds,
             long now) {
         int shared = prompt.sharedTokens();
         boolean isDecodeRunner = target.entry().stage() != Stage.PREFILL;
@@ -213,8 +273,7 @@
         if (!target.entry().availabilityZone().equals(availabilityZone)) {
             firstTokenMilliseconds += OTHER_ZONE_PENALTY_MILLISECONDS;
         }
-        firstTokenMilliseconds +=
-                FAILURE_PENALTY_MILLISECONDS * target.failureRate() + MAXIMUM_JITTER_MILLISECONDS * random.nextDouble();
+        firstTokenMilliseconds += FAILURE_PENALTY_MILLISECONDS * target.failureRate() + jitterMilliseconds;
         return new Placement(
                 target,
                 source,
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/RoutingConfiguration.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/RoutingConfiguration.java
@@ -130,6 +130,16 @@
         return requiresApiKeys;
     }
 
+    /** Tells whether requests of the route require an API key. */
+    public boolean requiresApiKey(HostRoute route) {
+        return requiresApiKeys && !route.openToAll();
+    }
+
+    /** Tells whether a client account has an API key. */
+    public boolean hasAccount(String account) {
+        return accountByKey.containsValue(account);
+    }
+
     /** Returns the limits of callers' requests and connections. */
     public CallerLimits limits() {
         return limits;
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/ServiceLoad.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/ServiceLoad.java
@@ -135,6 +135,11 @@
         return target.work().requests(use(target.entry().stage(), now) * slots(target), freshness, now);
     }
 
+    /** Returns the expected number of requests at a target, by the value that its report still has. */
+    double requests(TargetState target, long now) {
+        return requests(target, target.work().freshness(memoryMilliseconds(), now), now);
+    }
+
     /** Returns the standard deviation of the number of requests at a target. */
     double deviation(TargetState target, double freshness, long now) {
         double variance = useByStage.get(target.entry().stage()).variance();
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/ServiceLoads.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/ServiceLoads.java
@@ -27,11 +27,19 @@
 
     /** Returns the load of a service whose targets are chosen by work; empty for other services. */
     public Optional<ServiceLoad> byWork(String service) {
+        if (always && !loads.containsKey(service)) {
+            load(service);
+        }
+        return evaluate(service);
+    }
+
+    /** Returns the same as {@link #byWork}, but does not begin to record the load of a service that is not known. */
+    public Optional<ServiceLoad> evaluate(String service) {
         ServiceLoad load = loads.get(service);
-        if (always && load == null) {
-            load = load(service);
+        if (load == null) {
+            return always ? Optional.of(new ServiceLoad()) : Optional.empty();
         }
-        return load != null && (always || load.statesSlowdown()) ? Optional.of(load) : Optional.empty();
+        return always || load.statesSlowdown() ? Optional.of(load) : Optional.empty();
     }
 
     private ServiceLoad load(String service) {
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetPicker.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetPicker.java
@@ -1,6 +1,10 @@
 package io.fireflywalk.core.ingress;
 
+import io.fireflywalk.core.ingress.DecisionExplanation.Candidate;
 import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
@@ -37,15 +41,11 @@
         double bestCost = Double.MAX_VALUE;
         int candidates = 0;
         for (TargetState target : targets) {
-            if (!eligible(target, excluded, maximumInFlight, now)) {
+            if (target.eligibility(excluded, maximumInFlight, now) != Eligibility.ELIGIBLE) {
                 continue;
             }
             candidates++;
-            double cost =
-                    target.estimatedRequests(now) / Math.max(1, target.entry().slots())
-                            + zoneCost(target, availabilityZone)
-                            + FAILURE_COST * target.failureRate()
-                            + MAXIMUM_JITTER_COST * random.nextDouble();
+            double cost = cost(target, availabilityZone, now) + MAXIMUM_JITTER_COST * random.nextDouble();
             if (cost < bestCost) {
                 bestCost = cost;
                 best = target;
@@ -54,10 +54,36 @@
         return best == null ? Optional.empty() : Optional.of(new Choice(best, bestCost, candidates));
     }
 
-    private static boolean eligible(TargetState target, Set<String> excluded, int maximumInFlight, long now) {
-        return target.available(now)
-                && target.inFlight() < maximumInFlight
-                && !excluded.contains(target.entry().identifier());
+    /** Returns the figures of all targets for a request that no attempt has been made for, without a choice. */
+    public static TargetEvaluation evaluate(
+            Collection<TargetState> targets,
+            Set<String> excluded,
+            int maximumInFlight,
+            String availabilityZone,
+            long now) {
+        Map<TargetState, Double> costs = new LinkedHashMap<>();
+        targets.stream()
+                .filter(target -> target.eligibility(excluded, maximumInFlight, now) == Eligibility.ELIGIBLE)
+                .forEach(target -> costs.put(target, cost(target, availabilityZone, now)));
+        Map<TargetState, Double> probabilities = JitteredCosts.lowestProbabilities(costs, MAXIMUM_JITTER_COST);
+        List<Candidate> candidates = targets.stream()
+                .map(target -> Candidate.of(
+                        target,
+                        target.eligibility(excluded, maximumInFlight, now),
+                        probabilities.getOrDefault(target, 0.0),
+                        Optional.of(cost(target, availabilityZone, now)),
+                        Optional.empty(),
+                        Optional.empty(),
+                        now))
+                .toList();
+        return new TargetEvaluation("by_load", candidates, Optional.empty(), Optional.empty());
+    }
+
+    /** Returns the cost of a target without its random part. */
+    private static double cost(TargetState target, String availabilityZone, long now) {
+        return target.estimatedRequests(now) / Math.max(1, target.entry().slots())
+                + zoneCost(target, availabilityZone)
+                + FAILURE_COST * target.failureRate();
     }
 
     private static double zoneCost(TargetState target, String availabilityZone) {
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetState.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetState.java
@@ -1,5 +1,6 @@
 package io.fireflywalk.core.ingress;
 
+import java.util.Set;
 import java.util.function.IntSupplier;
 
 /**
@@ -208,11 +209,45 @@
      * stage may not; a failing one receives one probe at a time after its backoff.
      */
     public boolean available(long now) {
-        return acceptsRequests(now)
-                && now >= backoffUntil
-                && now >= stageChangesUntil
-                && now >= fullUntil
-                && !(consecutiveFailures > 0 && probeInFlight && inFlight > 0);
+        return eligibility(now) == Eligibility.ELIGIBLE;
+    }
+
+    /** Returns why the target may not receive a request. */
+    private Eligibility eligibility(long now) {
+        if (!acceptsRequests(now)) {
+            return entry.leaving() || leavingAnnounced ? Eligibility.LEAVING : Eligibility.PAUSED;
+        }
+        if (now < backoffUntil) {
+            return consecutiveFailures > 0 ? Eligibility.CIRCUIT_OPEN : Eligibility.PAUSED;
+        }
+        if (now < stageChangesUntil) {
+            return Eligibility.PAUSED;
+        }
+        if (now < fullUntil) {
+            return Eligibility.FULL;
+        }
+        return consecutiveFailures > 0 && probeInFlight && inFlight > 0
+                ? Eligibility.CIRCUIT_OPEN
+                : Eligibility.ELIGIBLE;
+    }
+
+    /**
+     * Tells whether the target may receive a request of this instance, and if not, why.
+     *
+     * @param excluded identifiers of targets that the request must not go to
+     * @param maximumInFlight number of requests that this instance may have in progress at the target
+     */
+    Eligibility eligibility(Set<String> excluded, int maximumInFlight, long now) {
+        Eligibility own = eligibility(now);
+        if (own != Eligibility.ELIGIBLE) {
+            return own;
+        }
+        if (inFlight >= maximumInFlight) {
+            return Eligibility.FULL;
+        }
+        return !excluded.isEmpty() && excluded.contains(entry.identifier())
+                ? Eligibility.EXCLUDED
+                : Eligibility.ELIGIBLE;
     }
 
     /**
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/WorkBasedPicker.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/WorkBasedPicker.java
@@ -1,6 +1,12 @@
 package io.fireflywalk.core.ingress;
 
+import io.fireflywalk.core.ingress.DecisionExplanation.Candidate;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
@@ -104,7 +110,7 @@
         int candidates = 0;
         double memory = load.memoryMilliseconds();
         for (TargetState target : targets) {
-            if (!eligible(target, excluded, maximumInFlight, now)) {
+            if (eligibility(target, excluded, maximumInFlight, now) != Eligibility.ELIGIBLE) {
                 continue;
             }
             candidates++;
@@ -129,15 +135,63 @@
             return Optional.of(choice(first, Optional.empty(), firstTime, 0, load, candidates, now));
         }
         double secondTime = expectedMilliseconds(second, load, cost, availabilityZone, repeat, now);
-        double knowledge = (first.work().freshness(memory, now) + second.work().freshness(memory, now)) / 2;
-        double idle = Math.max(0, 1 - load.use(first.entry().stage(), now));
-        boolean compare = repeat || random.nextDouble() < COMPARED_PART * idle * knowledge;
+        boolean compare = repeat || random.nextDouble() < comparedPart(first, second, load, memory, now);
         return Optional.of(
                 compare && secondTime < firstTime
                         ? choice(second, Optional.of(first), secondTime, firstTime, load, candidates, now)
                         : choice(first, Optional.of(second), firstTime, secondTime, load, candidates, now));
     }
 
+    /**
+     * Returns the figures of all targets, for a request that no attempt has been made for, without a choice.
+     *
+     * @param excluded targets that the request must not go to
+     */
+    public static TargetEvaluation evaluate(
+            Collection<TargetState> targets,
+            Set<String> excluded,
+            int maximumInFlight,
+            String availabilityZone,
+            ServiceLoad load,
+            RequestCost cost,
+            long now) {
+        double memory = load.memoryMilliseconds();
+        Map<TargetState, Double> weights = new LinkedHashMap<>();
+        for (TargetState target : targets) {
+            boolean eligible = eligibility(target, excluded, maximumInFlight, now) == Eligibility.ELIGIBLE;
+            weights.put(
+                    target,
+                    eligible ? weight(target, load, memory, availabilityZone, cost.prefilled(), false, now) : 0);
+        }
+        double sum = weights.values().stream().mapToDouble(weight -> weight).sum();
+        List<Candidate> candidates = new ArrayList<>();
+        weights.forEach((target, weight) -> candidates.add(Candidate.of(
+                target,
+                eligibility(target, excluded, maximumInFlight, now),
+                weight == 0 ? 0 : weight / sum,
+                Optional.empty(),
+                Optional.of(expectedMilliseconds(target, load, cost, availabilityZone, false, now)),
+                Optional.of(load),
+                now)));
+        List<TargetState> drawn = weights.keySet().stream()
+                .filter(target -> weights.get(target) > 0)
+                .sorted(Comparator.comparingDouble(weights::get).reversed())
+                .limit(2)
+                .toList();
+        Optional<Double> comparedPart = drawn.size() < 2
+                ? Optional.empty()
+                : Optional.of(comparedPart(drawn.get(0), drawn.get(1), load, memory, now));
+        return new TargetEvaluation("by_work", candidates, comparedPart, Optional.empty());
+    }
+
+    /** Returns the probability that the expected time decides between two targets that were drawn. */
+    private static double comparedPart(
+            TargetState first, TargetState second, ServiceLoad load, double memory, long now) {
+        double knowledge = (first.work().freshness(memory, now) + second.work().freshness(memory, now)) / 2;
+        double idle = Math.max(0, 1 - load.use(first.entry().stage(), now));
+        return COMPARED_PART * idle * knowledge;
+    }
+
     private static WorkChoice choice(
             TargetState target,
             Optional<TargetState> runnerUp,
@@ -160,11 +214,8 @@
                 candidates);
     }
 
-    private static boolean eligible(TargetState target, Set<String> excluded, int maximumInFlight, long now) {
-        return target.generates()
-                && target.available(now)
-                && target.inFlight() < maximumInFlight
-                && (excluded.isEmpty() || !excluded.contains(target.entry().identifier()));
+    private static Eligibility eligibility(TargetState target, Set<String> excluded, int maximumInFlight, long now) {
+        return target.generates() ? target.eligibility(excluded, maximumInFlight, now) : Eligibility.OTHER_STAGE;
     }
 
     /**
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/quota/AccountAllowance.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/quota/AccountAllowance.java
@@ -81,6 +81,23 @@
     /** Totals of an account at this instance: amounts granted and used, and requests refused. */
     public record Figures(long granted, long used, long refused, long balance) {}
 
+    /**
+     * What would be decided on a request.
+     *
+     * @param time longest wait for a grant, or time after which a refused request may be sent again, without its random part
+     * @param position position among the requests that wait for a grant; 0 if it would not wait
+     */
+    public record Outlook(Decision decision, Duration time, int position) {
+
+        /** Decision on a request. */
+        public enum Decision {
+            COVERED,
+            /** The holdings do not cover the request, and a granter may. */
+            GRANT_NEEDED,
+            REFUSED
+        }
+    }
+
     /** Creates an allowance that holds nothing. */
     public AccountAllowance(String account, int primaryPool, QuotaLimits limits, RandomGenerator random) {
         this.account = account;
@@ -204,22 +221,50 @@
             }
         }
         // A granter that has not answered once is asked again.
-        boolean later = false;
+        return mayGrantBefore(missing, next.until(), fleet, now);
+    }
+
+    private boolean mayGrantBefore(long missing, long until, Fleet fleet, ClockReading now) {
+        boolean may = false;
         for (int pool = 0; pool < holdings.length; pool++) {
-            later |= fleet.grantersKnown().get(pool) && holdings[pool].mayGrantBefore(missing, next.until(), now);
+            may |= fleet.grantersKnown().get(pool) && holdings[pool].mayGrantBefore(missing, until, now);
         }
-        return later;
+        return may;
+    }
+
+    /** Returns what would be decided on a request for the amount, and changes nothing. */
+    public Outlook evaluate(long amount, Fleet fleet, ClockReading now) {
+        long missing = amount;
+        for (QuotaHolding holding : holdings) {
+            missing -= holding.balance(now);
+        }
+        if (missing <= 0) {
+            return new Outlook(Outlook.Decision.COVERED, Duration.ZERO, 0);
+        }
+        if (waiting.size() >= MAXIMUM_WAITING) {
+            return new Outlook(Outlook.Decision.REFUSED, OVERLOAD_WAIT, 0);
+        }
+        if (!waiting.isEmpty() || mayGrantBefore(missing, now.fast() + MAXIMUM_WAIT.toNanos(), fleet, now)) {
+            return new Outlook(Outlook.Decision.GRANT_NEEDED, MAXIMUM_WAIT, waiting.size() + 1);
+        }
+        return fleet.shareUsable() && share.level(limits, fleet.instances(), now) >= amount
+                ? new Outlook(Outlook.Decision.COVERED, Duration.ZERO, 0)
+                : new Outlook(Outlook.Decision.REFUSED, minimumRetryAfter(now), 0);
     }
 
     /** The random part keeps callers that were refused together from returning together. */
     private Duration retryAfter(ClockReading now) {
+        return Duration.ofNanos((long) (minimumRetryAfter(now).toNanos() * (1 + random.nextDouble())));
+    }
+
+    private Duration minimumRetryAfter(ClockReading now) {
         long wait = Long.MAX_VALUE;
         for (QuotaHolding holding : holdings) {
             long until = holding.availableAt(now) - now.fast();
             wait = until > 0 ? Math.min(wait, until) : wait;
         }
-        long base = wait == Long.MAX_VALUE ? UNKNOWN_WAIT.toNanos() : Math.max(MINIMUM_RETRY_AFTER.toNanos(), wait);
-        return Duration.ofNanos((long) (base * (1 + random.nextDouble())));
+        return Duration.ofNanos(
+                wait == Long.MAX_VALUE ? UNKNOWN_WAIT.toNanos() : Math.max(MINIMUM_RETRY_AFTER.toNanos(), wait));
     }
 
     /** Returns the messages that report what was used, give back what is not needed, and renew the reserve. */
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/quota/EqualShare.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/quota/EqualShare.java
@@ -22,10 +22,15 @@
     }
 
     void accrue(QuotaLimits limits, int instances, ClockReading now) {
-        if (accruedAt != Long.MIN_VALUE) {
-            level += limits.shareRate(instances) * Math.max(0, now.slow() - accruedAt) / NANOSECONDS_PER_SECOND;
-        }
+        level = level(limits, instances, now);
         accruedAt = now.slow();
-        level = Math.min(level, limits.shareCapacity(instances));
+    }
+
+    /** Returns the amount that the share has. */
+    double level(QuotaLimits limits, int instances, ClockReading now) {
+        double accrued = accruedAt == Long.MIN_VALUE
+                ? 0
+                : limits.shareRate(instances) * Math.max(0, now.slow() - accruedAt) / NANOSECONDS_PER_SECOND;
+        return Math.min(level + accrued, limits.shareCapacity(instances));
     }
 }
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/quota/QuotaHolding.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/quota/QuotaHolding.java
@@ -37,11 +37,15 @@
 
     /** Begins a new generation if the grants have expired. */
     void expire(ClockReading now) {
-        if (granted > 0 && now.fast() >= expiresAt) {
+        if (isExpired(now)) {
             reset();
         }
     }
 
+    private boolean isExpired(ClockReading now) {
+        return granted > 0 && now.fast() >= expiresAt;
+    }
+
     private void reset() {
         generation++;
         granted = 0;
@@ -56,6 +60,11 @@
         return granted - used - returned;
     }
 
+    /** Returns the balance without the grants that have expired. */
+    long balance(ClockReading now) {
+        return isExpired(now) ? 0 : balance();
+    }
+
     long unreported() {
         return used - reportedUsed;
     }
--- a/fireflywalk-core/src/test/java/io/fireflywalk/core/admission/ReturnScheduleProperties.java
+++ b/fireflywalk-core/src/test/java/io/fireflywalk/core/admission/ReturnScheduleProperties.java
@@ -35,6 +35,9 @@
         ReturnSchedule schedule = new ReturnSchedule(new Random(7));
         long[] delays = new long[40];
         for (int caller = 0; caller < delays.length; caller++) {
+            // An explanation names the time of the next caller and does not move it.
+            assertEquals(
+                    Optional.of(Duration.ofMillis(500 + caller * 50)), schedule.evaluate(10, 20, Optional.empty(), 0));
             delays[caller] = schedule.retryAfter(10, 20, Optional.empty(), 0)
                     .orElseThrow()
                     .toMillis();
--- a/fireflywalk-core/src/test/java/io/fireflywalk/core/admission/WaitQueueTest.java
+++ b/fireflywalk-core/src/test/java/io/fireflywalk/core/admission/WaitQueueTest.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import java.util.stream.IntStream;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
@@ -183,4 +184,30 @@
         IntStream.range(0, 1_000).forEach(id -> offer(request(id, 0), places(0, 0)));
         assertEquals(settings.queuedPerAccount(), queue.size());
     }
+
+    /** Guards against an explanation that differs from the decision, or that changes the queue or an account's share. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void evaluationIsTheDecisionAndChangesNothing(long seed) {
+        Random random = new Random(seed);
+        WaitQueue untouched = new WaitQueue(AdmissionSettings.requestQueue());
+        for (int id = 0; id < 900; id++) {
+            long now = id * MILLISECOND;
+            Places places = new Places(random.nextInt(50) == 0 ? 0 : 4, random.nextInt(300), random.nextInt(3));
+            WaitingRequest request = request(id, "account" + random.nextInt(9), 0, random.nextInt(3), now, OBJECTIVE);
+            WaitQueue.Evaluation evaluation = queue.evaluate(request, places, now);
+            queue.evaluate(request(id, "unknown" + id, 0, 0, now, OBJECTIVE), places, now);
+            List<QueueDecision> decisions = queue.offer(request, places, now);
+            assertEquals(decisions.get(decisions.size() - 1), evaluation.decision());
+            assertTrue(evaluation.position() >= 1 && evaluation.position() <= queue.size() + 1);
+            assertEquals(untouched.offer(request, places, now), decisions);
+            if (random.nextInt(100) == 0) {
+                queue.recordRejection(now);
+                untouched.recordRejection(now);
+            }
+            if (random.nextInt(20) == 0) {
+                assertEquals(untouched.release(places, 0, now), queue.release(places, 0, now));
+            }
+        }
+    }
 }
