Add the command explain and the page of decisions

Operators asked where a given request would go now, and why, without sending it.

GET /v1/decision on the metrics port of serve answers with a DecisionExplanation as JSON, and fireflywalk explain prints it with one line for each candidate. Nothing is sent, reserved, counted or logged. The account is given by its name; a query with another parameter, such as a key, is refused. The components of an instance are asked through methods that do not change their state. The operators' client sends no empty operator key any more, because the metrics port needs none.

--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/CallerExchange.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/CallerExchange.java
@@ -1,7 +1,6 @@
 package io.fireflywalk.daemon.ingress;
 
 import io.fireflywalk.core.error.FireflywalkException;
-import io.fireflywalk.core.error.RunState;
 import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
@@ -214,7 +213,7 @@
         HttpServerResponse response = request.response();
         response.setStatusCode(cause.kind().httpStatus());
         response.putHeader("content-type", "application/json");
-        if (cause.kind().retryable() && cause.kind().runState() == RunState.NOT_RUN) {
+        if (cause.kind().statesRetryAfter()) {
             Duration delay = retryAfter.orElse(RETRY_AFTER);
             context.callerProtocol().setRetryAfter(response.headers(), delay);
             context.metrics().retryAfter(delay);
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
@@ -94,6 +94,7 @@
     private final QuotaExchange quotas;
     private final EventLoopMonitor eventLoopMonitor;
     private final IngressServer server;
+    private final DecisionHandler decisionHandler;
     private final CallerBounds callerBounds;
     private final CallerMemory callerMemory;
     private boolean draining;
@@ -199,6 +200,7 @@
         this.callerBounds = callerBounds(settings);
         this.callerMemory = new CallerMemory(callerBounds.memoryBytes());
         this.server = new IngressServer(vertx, context, this::requestsPerTarget, callerBounds, callerMemory);
+        this.decisionHandler = new DecisionHandler(context, this::requestsPerTarget, server::isRejectingNewRequests);
         registerGauges(bodyMemory, requestQueue);
     }
 
@@ -366,7 +368,7 @@
                 .compose(ignored -> listen(() -> internalGuard()
                         .listenInternally(
                                 vertx,
-                                request -> request.response().end(MetricsRenderer.render(registry)),
+                                this::handleInternalRequest,
                                 host,
                                 settings.listen().metricsPort())))
                 .onSuccess(ignored -> LOG.infof(
@@ -378,6 +380,14 @@
                         settings.store()));
     }
 
+    private void handleInternalRequest(HttpServerRequest request) {
+        if (DecisionHandler.PATH.equals(request.path())) {
+            decisionHandler.handle(request);
+        } else {
+            request.response().end(MetricsRenderer.render(registry));
+        }
+    }
+
     private ListenerGuard internalGuard() {
         return new ListenerGuard(timers, callerMemory, callerBounds, callerBounds.internalConnections(), metrics);
     }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressServer.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressServer.java
@@ -75,6 +75,11 @@
         rejectingNewRequests = true;
     }
 
+    /** Tells whether all requests that arrive are rejected. */
+    boolean isRejectingNewRequests() {
+        return rejectingNewRequests;
+    }
+
     /** Returns the number of open connections. */
     int connections() {
         return guard.size();
@@ -267,7 +272,7 @@
             throws FireflywalkException {
         Optional<String> key = context.callerProtocol().apiKey(request.headers());
         Optional<String> account = key.flatMap(configuration::accountForKey);
-        if (account.isEmpty() && configuration.requiresApiKeys() && !route.openToAll()) {
+        if (account.isEmpty() && configuration.requiresApiKey(route)) {
             ErrorKind kind = key.isPresent() ? ErrorKind.UNKNOWN_KEY : ErrorKind.MISSING_KEY;
             throw new FireflywalkException(kind, "the route needs a valid key", LOCATION);
         }
@@ -275,7 +280,11 @@
     }
 
     private static String host(HttpServerRequest request) {
-        String header = Optional.ofNullable(request.getHeader("host")).orElse("");
+        return withoutPort(Optional.ofNullable(request.getHeader("host")).orElse(""));
+    }
+
+    /** Returns the value of a Host header without the port. */
+    static String withoutPort(String header) {
         int colon = header.indexOf(':');
         return colon < 0 ? header : header.substring(0, colon);
     }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/PromptQuarantine.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/PromptQuarantine.java
@@ -62,6 +62,18 @@
         private long changedAt;
         private long storeCalledAt = Long.MIN_VALUE / 2;
         private Optional<Long> probeAllowedUntil = Optional.empty();
+
+        private boolean mayProbe(long now) {
+            return probeAllowedUntil.filter(until -> now < until).isPresent();
+        }
+
+        private long untilProbe(long now) {
+            return changedAt + PromptPartQuarantine.probeInterval(probes).toNanos() - now;
+        }
+
+        private Duration retryAfter(long now) {
+            return Duration.ofNanos(Math.max(MINIMUM_RETRY_AFTER.toNanos(), untilProbe(now)));
+        }
     }
 
     /**
@@ -184,15 +196,13 @@
         QuarantinedPart part = refusal.get();
         PartState state = states.computeIfAbsent(part.part(), name -> new PartState());
         long now = timers.monotonicNanoseconds();
-        if (state.probeAllowedUntil.filter(until -> now < until).isPresent()) {
+        if (state.mayProbe(now)) {
             state.probeAllowedUntil = Optional.empty();
             metrics.count("quarantine_probes");
             LOG.infof("event=quarantine_probe part=%s probes=%d", part.part(), state.probes);
             return new Admission(Optional.empty(), Duration.ZERO, true);
         }
-        long untilProbe = state.changedAt
-                + PromptPartQuarantine.probeInterval(state.probes).toNanos()
-                - now;
+        long untilProbe = state.untilProbe(now);
         if (now - state.storeCalledAt > STORE_RETRY_DELAY.toNanos()) {
             if (untilProbe <= 0 && state.version > 0) {
                 claimProbe(part, state);
@@ -200,8 +210,19 @@
                 ensureRow(part);
             }
         }
-        Duration retryAfter = Duration.ofNanos(Math.max(MINIMUM_RETRY_AFTER.toNanos(), untilProbe));
-        return new Admission(Optional.of(part.part()), retryAfter, false);
+        return new Admission(Optional.of(part.part()), state.retryAfter(now), false);
+    }
+
+    /**
+     * Returns the time after which a request with the parts that is refused now may return, and changes nothing; empty if
+     * it would not be refused.
+     */
+    Optional<Duration> evaluate(List<String> requestParts) {
+        long now = timers.monotonicNanoseconds();
+        return parts.refusalOf(requestParts)
+                .map(part -> Optional.ofNullable(states.get(part.part())).orElseGet(PartState::new))
+                .filter(state -> !state.mayProbe(now))
+                .map(state -> state.retryAfter(now));
     }
 
     // Rows
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/QuotaExchange.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/QuotaExchange.java
@@ -151,10 +151,23 @@
             return Optional.empty();
         }
         applyConfiguration();
-        return Optional.ofNullable(quotas.get(account.get()))
+        return amount(account.get(), description);
+    }
+
+    private Optional<Long> amount(String account, RequestDescription description) {
+        return Optional.ofNullable(quotas.get(account))
                 .map(quota -> quota.charge(description.promptTokens(), description.maximumGeneratedTokens()));
     }
 
+    /** Returns what would be decided on a request of the account, and changes nothing; empty if it has no quota. */
+    Optional<AccountAllowance.Outlook> evaluate(String account, RequestDescription description) {
+        Optional<Long> amount = terms.isEmpty() ? Optional.empty() : amount(account, description);
+        return amount.map(charged -> Optional.ofNullable(entries.get(account))
+                .map(entry -> entry.allowance)
+                .orElseGet(() -> newAllowance(account))
+                .evaluate(charged, fleet, now()));
+    }
+
     /** Uses the amount if what this instance holds covers it. */
     boolean take(String account, long amount) {
         Entry entry = entry(account);
@@ -184,14 +197,16 @@
     }
 
     private Entry entry(String account) {
-        Entry entry = entries.computeIfAbsent(
-                account,
-                name -> new Entry(new AccountAllowance(
-                        name, (instance + name).hashCode(), terms.orElseThrow().limits(quotas.get(name)), random)));
+        Entry entry = entries.computeIfAbsent(account, name -> new Entry(newAllowance(name)));
         entry.usedAt = timers.monotonicNanoseconds();
         return entry;
     }
 
+    private AccountAllowance newAllowance(String account) {
+        return new AccountAllowance(
+                account, (instance + account).hashCode(), terms.orElseThrow().limits(quotas.get(account)), random);
+    }
+
     private void scheduleStep() {
         if (!stepScheduled && !waitingAccounts.isEmpty()) {
             stepScheduled = true;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestAdmission.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestAdmission.java
@@ -134,16 +134,48 @@
     }
 
     private WaitingRequest request() {
+        return request(
+                queue,
+                identifier,
+                route,
+                clientAccount,
+                entries > 1 ? 0 : cost(description),
+                deadline,
+                enteredAt + REJECTION_PAUSE.toNanos() * Math.max(0, attempts.rejections() - TRUSTED_REJECTIONS),
+                rankedAt,
+                caller.arrivedAt());
+    }
+
+    /** Returns the request that the queue would get of a caller that arrives now. */
+    static WaitingRequest arriving(
+            RequestQueue queue,
+            HostRoute route,
+            Optional<String> clientAccount,
+            RequestDescription description,
+            long now) {
+        // An identifier after all others, because the latest of equal requests is served last.
+        return request(queue, Long.MAX_VALUE, route, clientAccount, cost(description), route.timeout(), now, now, now);
+    }
+
+    private static WaitingRequest request(
+            RequestQueue queue,
+            long identifier,
+            HostRoute route,
+            Optional<String> clientAccount,
+            double cost,
+            Duration deadline,
+            long earliestAt,
+            long rankedAt,
+            long arrivedAt) {
         Times expected = queue.responseTimes().of(route.name());
-        long arrivedAt = caller.arrivedAt();
         long objective = route.latencyObjective().toNanos();
         return new WaitingRequest(
                 identifier,
                 clientAccount.orElse(""),
                 queue.accountPriority(clientAccount.orElse("")),
                 route.priority(),
-                entries > 1 ? 0 : cost(),
-                enteredAt + REJECTION_PAUSE.toNanos() * Math.max(0, attempts.rejections() - TRUSTED_REJECTIONS),
+                cost,
+                earliestAt,
                 rankedAt,
                 objective,
                 arrivedAt + objective,
@@ -152,7 +184,7 @@
                 expected.toEnd());
     }
 
-    private double cost() {
+    private static double cost(RequestDescription description) {
         if (description.promptTokens() <= 0) {
             return PLAIN_COST;
         }
@@ -210,8 +242,7 @@
 
     /** Returns the time after which the refused caller should return; empty for the default. */
     Optional<Duration> retryAfter(ErrorKind kind) {
-        boolean noPlaces = NO_PLACES.contains(kind) || (refused && kind == ErrorKind.DEADLINE_UNREACHABLE);
-        if (!noPlaces) {
+        if (!lacksPlaces(kind, refused)) {
             return Optional.empty();
         }
         Optional<Duration> remaining = description.deadline().map(stated -> stated.minus(caller.elapsed()));
@@ -224,6 +255,11 @@
                         : Optional.empty());
     }
 
+    /** Tells whether a refusal is for lack of places, so that its caller returns by the schedule of its service. */
+    static boolean lacksPlaces(ErrorKind kind, boolean refusedByQueue) {
+        return NO_PLACES.contains(kind) || (refusedByQueue && kind == ErrorKind.DEADLINE_UNREACHABLE);
+    }
+
     /** Returns the fields of the request's log line that tell whether and why it waited; empty if requests never wait. */
     String logFields() {
         return queue.enabled()
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestForwarder.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestForwarder.java
@@ -3,6 +3,7 @@
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
 import io.fireflywalk.core.ingress.HostRoute;
+import io.fireflywalk.core.ingress.PromptPlacement;
 import io.fireflywalk.core.ingress.PromptPlacement.Placement;
 import io.fireflywalk.core.ingress.PromptSummary;
 import io.fireflywalk.core.ingress.RequestDescription;
@@ -27,8 +28,6 @@
  * Confined to one event loop.
  */
 final class RequestForwarder implements TargetExchange.Listener {
-    /** Prompts of at least this size go to runners of the prefill stage, if there are any. */
-    private static final int LONG_PROMPT_TOKENS = 1024;
     /** An attempt with less time left cannot get a response. */
     private static final Duration MINIMUM_ATTEMPT_TIME = Duration.ofMillis(15);
     /** Longer responses are passed on as they arrive, so that a body without end takes no more memory. */
@@ -159,10 +158,7 @@
     }
 
     private boolean shouldPrefillSeparately() {
-        return route.kind() == RequestKind.STREAMING
-                && !executionStarted
-                && description.promptTokens() >= LONG_PROMPT_TOKENS
-                && prefill.allowed();
+        return PromptPlacement.appliesTo(route, description) && !executionStarted && prefill.allowed();
     }
 
     private void sendToPlacement(Placement placement, Duration timeLeft) {
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestQueue.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestQueue.java
@@ -148,6 +148,34 @@
         apply(ofService, decisions);
     }
 
+    /** Returns the decision that a request would get, and changes nothing; empty if requests never wait. */
+    Optional<WaitQueue.Evaluation> evaluate(String service, WaitingRequest request) {
+        return enabled
+                ? Optional.of(
+                        evaluated(service).queue.evaluate(request, places(service), timers.monotonicNanoseconds()))
+                : Optional.empty();
+    }
+
+    /** Returns the queue of a service, or one that is not kept if the service has had no request. */
+    private ServiceQueue evaluated(String service) {
+        return Optional.ofNullable(services.get(service)).orElseGet(() -> new ServiceQueue(random));
+    }
+
+    /** Returns the same as {@link #retryAfter} without its random part, and changes nothing. */
+    Optional<Duration> evaluateRetryAfter(String service) {
+        long now = timers.monotonicNanoseconds();
+        ServiceQueue ofService = evaluated(service);
+        return ofService.returns.evaluate(
+                backlog(service, ofService), completionRates.perSecond(service, now), Optional.empty(), now);
+    }
+
+    private int backlog(String service, ServiceQueue ofService) {
+        int inProgress = directory.forService(service).stream()
+                .mapToInt(TargetState::inFlight)
+                .sum();
+        return ofService.queue.size() + inProgress;
+    }
+
     /** Removes a request that waits no longer. */
     void leave(String service, long identifier) {
         service(service).ifPresent(ofService -> {
@@ -173,13 +201,9 @@
     /** Returns the time after which a caller that is refused for lack of places should return, if a drain is observed. */
     Optional<Duration> retryAfter(String service, Optional<Duration> remaining) {
         long now = timers.monotonicNanoseconds();
-        int inProgress = directory.forService(service).stream()
-                .mapToInt(TargetState::inFlight)
-                .sum();
         double rate = completionRates.perSecond(service, now);
         return service(service)
-                .flatMap(ofService ->
-                        ofService.returns.retryAfter(ofService.queue.size() + inProgress, rate, remaining, now));
+                .flatMap(ofService -> ofService.returns.retryAfter(backlog(service, ofService), rate, remaining, now));
     }
 
     private Optional<ServiceQueue> service(String name) {
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetChooser.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetChooser.java
@@ -9,13 +9,16 @@
 import io.fireflywalk.core.ingress.ServerLoad;
 import io.fireflywalk.core.ingress.ServiceLoad;
 import io.fireflywalk.core.ingress.ServiceLoads;
+import io.fireflywalk.core.ingress.TargetEvaluation;
 import io.fireflywalk.core.ingress.TargetPicker;
 import io.fireflywalk.core.ingress.TargetState;
 import io.fireflywalk.core.ingress.WorkBasedPicker;
 import io.fireflywalk.core.ingress.WorkBasedPicker.WorkChoice;
 import io.fireflywalk.daemon.ingress.TargetProtocol.TargetResponseHead;
 import java.util.Collection;
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Supplier;
 
 /**
@@ -72,12 +75,7 @@
         String zone = cacheZone.orElse(availabilityZone);
         Optional<ServiceLoad> load = loads.byWork(service);
         if (load.isEmpty()) {
-            return byLoad.leastLoaded(
-                            targets.stream().filter(TargetState::generates).toList(),
-                            attempts.excludedTargets(),
-                            maximumInFlight,
-                            zone,
-                            now)
+            return byLoad.leastLoaded(generating(targets), attempts.excludedTargets(), maximumInFlight, zone, now)
                     .map(choice ->
                             new Chosen(choice.target(), Optional.empty(), () -> RequestLog.choiceFields(choice)));
         }
@@ -117,6 +115,38 @@
                 now);
     }
 
+    /** Returns the figures for a request that no attempt has been made for, without a choice. */
+    TargetEvaluation evaluate(
+            HostRoute route,
+            String service,
+            RequestDescription description,
+            Collection<TargetState> targets,
+            int maximumInFlight,
+            long now) {
+        return loads.evaluate(service)
+                .map(load -> WorkBasedPicker.evaluate(
+                        targets,
+                        Set.of(),
+                        maximumInFlight,
+                        availabilityZone,
+                        load,
+                        loads.cost(route, service, description, false),
+                        now))
+                .orElseGet(() ->
+                        TargetPicker.evaluate(generating(targets), Set.of(), maximumInFlight, availabilityZone, now));
+    }
+
+    /** Returns the figures for the prefill of a prompt that no attempt has been made for, without a choice. */
+    TargetEvaluation evaluatePrefill(
+            String service, Collection<TargetState> targets, int maximumInFlight, PromptSummary prompt, long now) {
+        return promptPlacement.evaluate(
+                targets, Set.of(), maximumInFlight, prompt, availabilityZone, loads.evaluate(service), now);
+    }
+
+    private static List<TargetState> generating(Collection<TargetState> targets) {
+        return targets.stream().filter(TargetState::generates).toList();
+    }
+
     /** Records the start of an attempt. */
     void recordStart(TargetState target, ExpectedWork work) {
         loads.recordStart(target, work.cost());
--- a/fireflywalk-operator/src/main/java/io/fireflywalk/operator/cli/CommandOptions.java
+++ b/fireflywalk-operator/src/main/java/io/fireflywalk/operator/cli/CommandOptions.java
@@ -5,7 +5,10 @@
 import java.net.URI;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 
 /** Options of the commands, filled by the command-line parser. */
@@ -121,6 +124,54 @@
         String reason = "drain";
     }
 
+    /** Options of the explain command. */
+    @Parameters(commandDescription = "Show where an instance of serve would send a request now, without sending it")
+    static final class Explain extends Common {
+        @Parameter(names = "--instance", description = "HOST:PORT of the metrics page of the instance", required = true)
+        String instance;
+
+        @Parameter(names = "--method", description = "Method of the request", required = true)
+        String method;
+
+        @Parameter(names = "--path", description = "Path of the request", required = true)
+        String path;
+
+        @Parameter(names = "--host", description = "Host header of the request", required = true)
+        String host;
+
+        @Parameter(names = "--account", description = "Name of the client account; without it, no key is assumed")
+        private String account;
+
+        @Parameter(names = "--prompt", description = "Parts of the prompt as ID:TOKENS,...")
+        private String prompt;
+
+        @Parameter(names = "--tokens", description = "Numbers of prompt tokens and of generated tokens as IN,OUT")
+        private String tokens;
+
+        @Parameter(names = "--model", description = "Name of the model; no decision depends on it yet")
+        private String model;
+
+        @Parameter(
+                names = "--length-hint",
+                description = "Expected number of generated tokens; no decision depends on it yet")
+        private String lengthHint;
+
+        /** Returns the parameters of the query by name, without those that are not given. */
+        Map<String, String> parameters() {
+            Map<String, String> given = new LinkedHashMap<>();
+            given.put("method", method);
+            given.put("path", path);
+            given.put("host", host);
+            given.put("account", account);
+            given.put("prompt", prompt);
+            given.put("tokens", tokens);
+            given.put("model", model);
+            given.put("length-hint", lengthHint);
+            given.values().removeIf(Objects::isNull);
+            return given;
+        }
+    }
+
     /** Values of the output option. */
     enum OutputFormat {
         TABLE,
--- a/fireflywalk-operator/src/main/java/io/fireflywalk/operator/cli/Commands.java
+++ b/fireflywalk-operator/src/main/java/io/fireflywalk/operator/cli/Commands.java
@@ -8,6 +8,7 @@
 import io.fireflywalk.core.configuration.Target;
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
+import io.fireflywalk.core.ingress.DecisionExplanation;
 import io.fireflywalk.core.security.SecretDigest;
 import io.fireflywalk.core.usage.UsageRow;
 import io.fireflywalk.operator.message.OperatorMessages;
@@ -17,6 +18,7 @@
 import io.fireflywalk.services.configuration.DocumentCodec;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.security.SecureRandom;
@@ -24,6 +26,7 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.stream.Collectors;
 
 /** Commands of the operator client. Each prints its result and returns an exit status. Not thread-safe. */
@@ -175,6 +178,33 @@
         }
     }
 
+    ExitStatus explain(CommandOptions.Explain options) throws FireflywalkException {
+        DecisionExplanation explanation = explanation(options);
+        if (options.output == CommandOptions.OutputFormat.JSON) {
+            output.println(Codec.json().write(explanation));
+        } else {
+            output.print(ExplanationText.render(explanation));
+        }
+        return explanation.decision().equals(DecisionExplanation.REFUSE) ? ExitStatus.FAILURE : ExitStatus.SUCCESS;
+    }
+
+    /** Returns the explanation; all failures count as wrong usage, because status 1 means that a request is refused. */
+    private static DecisionExplanation explanation(CommandOptions.Explain options) throws FireflywalkException {
+        if (!options.instance.matches("[^/?#@]+:[0-9]{1,5}")) {
+            throw new FireflywalkException(
+                    ErrorKind.INVALID_REQUEST, "--instance must have the form HOST:PORT", options.instance);
+        }
+        try (OperatorClient client =
+                new OperatorClient(URI.create("http://" + options.instance), "", Optional.empty())) {
+            return client.decision(options.parameters());
+        } catch (IllegalArgumentException exception) {
+            throw new FireflywalkException(
+                    ErrorKind.INVALID_REQUEST, "--instance must have the form HOST:PORT", options.instance, exception);
+        } catch (FireflywalkException exception) {
+            throw new FireflywalkException(ErrorKind.INVALID_REQUEST, exception.detail(), options.instance, exception);
+        }
+    }
+
     private static List<String> diffCells(ConfigurationSnapshot current, DocumentChange change) {
         boolean exists = current.documents().stream()
                 .anyMatch(document ->
--- a/fireflywalk-operator/src/main/java/io/fireflywalk/operator/cli/OperatorClient.java
+++ b/fireflywalk-operator/src/main/java/io/fireflywalk/operator/cli/OperatorClient.java
@@ -3,11 +3,13 @@
 import io.fireflywalk.core.configuration.DocumentChange;
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
+import io.fireflywalk.core.ingress.DecisionExplanation;
 import io.fireflywalk.core.usage.UsageRow;
 import io.fireflywalk.operator.message.OperatorMessages;
 import io.fireflywalk.services.codec.Codec;
 import io.fireflywalk.services.configuration.DocumentCodec;
 import io.fireflywalk.services.http.HttpClients;
+import io.netty.handler.codec.http.QueryStringEncoder;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -19,6 +21,7 @@
 import java.net.URI;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletionException;
 
@@ -82,6 +85,13 @@
         return call(HttpMethod.POST, "/operator/v1/drain", Optional.of("{}"), OperatorMessages.DrainResponse.class);
     }
 
+    /** Returns the explanation of a decision; the parameters are those of the query. */
+    DecisionExplanation decision(Map<String, String> parameters) throws FireflywalkException {
+        QueryStringEncoder query = new QueryStringEncoder("/v1/decision");
+        parameters.forEach(query::addParam);
+        return call(HttpMethod.GET, query.toString(), Optional.empty(), DecisionExplanation.class);
+    }
+
     private <T> T call(HttpMethod method, String path, Optional<String> body, Class<T> type)
             throws FireflywalkException {
         if (server.getHost() == null || server.getPort() < 0) {
@@ -94,8 +104,10 @@
                 .setPort(server.getPort())
                 .setSsl("https".equals(server.getScheme()))
                 .setURI(path)
-                .setTimeout(REQUEST_TIMEOUT_MILLISECONDS)
-                .putHeader("authorization", "Bearer " + operatorKey);
+                .setTimeout(REQUEST_TIMEOUT_MILLISECONDS);
+        if (!operatorKey.isEmpty()) {
+            options.putHeader("authorization", "Bearer " + operatorKey);
+        }
         Response response;
         try {
             response = client.request(options)
--- a/fireflywalk-operator/src/main/java/io/fireflywalk/operator/cli/OperatorMain.java
+++ b/fireflywalk-operator/src/main/java/io/fireflywalk/operator/cli/OperatorMain.java
@@ -22,9 +22,11 @@
               fireflywalk drain draft-3 --reason 'replace the host'
               fireflywalk drain --server http://10.0.0.5:8081
               fireflywalk usage
+              fireflywalk explain --instance 10.0.0.5:9464 --method POST --path /bills/1 --host bills.example
 
             Exit statuses: 0 success, 1 failure, 2 wrong usage, 3 invalid configuration, 4 conflict with another
-            operator's change, 5 operator key rejected, 6 diff found differences.
+            operator's change, 5 operator key rejected, 6 diff found differences. Of explain: 0 the request would be sent
+            or would wait, 1 it would be refused, 2 wrong usage or no explanation from the instance.
             """;
 
     private OperatorMain() {}
@@ -72,6 +74,7 @@
         commandsByName.put("status", new Command<>(new CommandOptions.Status(), commands::status));
         commandsByName.put("drain", new Command<>(new CommandOptions.Drain(), commands::drain));
         commandsByName.put("usage", new Command<>(new CommandOptions.Usage(), commands::usage));
+        commandsByName.put("explain", new Command<>(new CommandOptions.Explain(), commands::explain));
         return commandsByName;
     }
 
