--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
@@ -94,6 +94,7 @@
     private final QuotaExchange quotas;
     private final EventLoopMonitor eventLoopMonitor;
     private final IngressServer server;
+    private final DecisionHandler decisionHandler;
     private final CallerBounds callerBounds;
     private final CallerMemory callerMemory;
     private boolean draining;
@@ -201,6 +202,7 @@
         this.callerMemory = new CallerMemory(callerBounds.memoryBytes());
         this.server =
                 new IngressServer(vertx, context, this::requestsPerTarget, callerBounds, callerMemory, this::hasLoaded);
+        this.decisionHandler = new DecisionHandler(context, this::requestsPerTarget, server::isRejectingNewRequests);
         registerGauges(bodyMemory, requestQueue);
     }
 
@@ -368,7 +370,7 @@
                 .compose(ignored -> listen(() -> internalGuard()
                         .listenInternally(
                                 vertx,
-                                request -> request.response().end(MetricsRenderer.render(registry)),
+                                this::handleInternalRequest,
                                 host,
                                 settings.listen().metricsPort())))
                 .onSuccess(ignored -> LOG.infof(
@@ -380,6 +382,14 @@
                         settings.store()));
     }
 
+    private void handleInternalRequest(HttpServerRequest request) {
+        if (DecisionHandler.PATH.equals(request.path())) {
+            decisionHandler.handle(request);
+        } else {
+            request.response().end(MetricsRenderer.render(registry));
+        }
+    }
+
     private ListenerGuard internalGuard() {
         return new ListenerGuard(timers, callerMemory, callerBounds, callerBounds.internalConnections(), metrics);
     }
