Revert "Learn slow transfers of KV caches and avoid the runners that cause them"

It made long prompts later instead of earlier.

The cause was read wrongly: 13 links were slow from 14.0 to 19.9 s, but two zones' runners were reclaimed at 8.5 and 14.5 s and 9 runners stopped responding at 13.5 s as well, so that 15 to 18 decode runners were left in a surge. The delays came from full decode runners. Attributed to runners, they moved the prompts to the few without a recent delay.

--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/PromptPlacement.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/PromptPlacement.java
@@ -244,7 +244,7 @@
         int shared = prompt.sharedTokens();
         boolean isDecodeRunner = target.entry().stage() != Stage.PREFILL;
         boolean cachedOrPending = target.hasOrExpectsPart(prompt.sharedPart());
-        Optional<TargetState> source = cachedOrPending ? Optional.empty() : source(target, holders, now);
+        Optional<TargetState> source = cachedOrPending ? Optional.empty() : source(target, holders);
         double timeFactor =
                 load.isPresent() ? target.work().timeFactor(load.get().meanSlowdown(), now) : 1;
         double prefillFactor = timeFactor * prefillFactor(target.entry().service());
@@ -252,10 +252,8 @@
                 prefillFactor * latencyModel.prefillMilliseconds(prompt.ownTokens(), shared, isDecodeRunner);
         double firstTokenMilliseconds = latencyModel.firstTokenMilliseconds();
         if (source.isPresent()) {
-            firstTokenMilliseconds += latencyModel.fetchMilliseconds(shared, !sameZone(target, source.get()))
-                    + COPY_PENALTY_MILLISECONDS
-                    + source.get().transferDelayMilliseconds(now)
-                    + target.transferDelayMilliseconds(now);
+            firstTokenMilliseconds +=
+                    latencyModel.fetchMilliseconds(shared, !sameZone(target, source.get())) + COPY_PENALTY_MILLISECONDS;
         } else if (!cachedOrPending) {
             prefillMilliseconds += prefillFactor * latencyModel.prefillMilliseconds(shared, 0, isDecodeRunner);
             firstTokenMilliseconds -= home.filter(target::equals).isPresent() ? HOME_BONUS_MILLISECONDS : 0;
@@ -270,8 +268,7 @@
             firstTokenMilliseconds += DECODE_RUNNER_PENALTY_MILLISECONDS;
         }
         if (target.entry().stage() == Stage.PREFILL) {
-            firstTokenMilliseconds += latencyModel.fetchMilliseconds(shared + prompt.ownTokens(), false)
-                    + target.transferDelayMilliseconds(now);
+            firstTokenMilliseconds += latencyModel.fetchMilliseconds(shared + prompt.ownTokens(), false);
         }
         if (!target.entry().availabilityZone().equals(availabilityZone)) {
             firstTokenMilliseconds += OTHER_ZONE_PENALTY_MILLISECONDS;
@@ -294,11 +291,12 @@
                 : prefillWait;
     }
 
-    /** Returns the runner from which the target can fetch the shared part in the shortest time. */
-    private static Optional<TargetState> source(TargetState target, List<TargetState> holders, long now) {
+    /** Returns a runner from which the target can fetch the shared part, preferably in the same availability zone. */
+    private static Optional<TargetState> source(TargetState target, List<TargetState> holders) {
         return holders.stream()
-                .min(Comparator.comparingDouble(holder -> holder.transferDelayMilliseconds(now)
-                        + (sameZone(target, holder) ? 0 : OTHER_ZONE_PENALTY_MILLISECONDS)));
+                .filter(holder -> sameZone(target, holder))
+                .findFirst()
+                .or(() -> holders.stream().findFirst());
     }
 
     private static boolean sameZone(TargetState first, TargetState second) {
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetState.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetState.java
@@ -21,7 +21,6 @@
     private final PrefillQueue prefillQueue = new PrefillQueue();
     private final KvCacheEstimate kvCache;
     private final TargetWork work = new TargetWork();
-    private final TransferDelay transferDelay = new TransferDelay();
     private TargetEntry entry;
     private int inFlight;
     private int sentSinceReport;
@@ -62,7 +61,6 @@
             prefillQueue.clear();
             kvCache.clear();
             work.clear();
-            transferDelay.clear();
             consecutiveFailures = 0;
             failureRate = 0;
             backoffUntil = Long.MIN_VALUE / 2;
@@ -293,15 +291,6 @@
         return inFlight;
     }
 
-    TransferDelay transferDelay() {
-        return transferDelay;
-    }
-
-    /** Returns the expected additional time of a transfer of a KV cache from or to the target. */
-    public double transferDelayMilliseconds(long now) {
-        return transferDelay.milliseconds(now);
-    }
-
     /** Returns the estimated time until the target has processed all known prompts of the same or a higher priority. */
     public double prefillWaitMilliseconds(int priority, long now) {
         return prefillQueue.waitMilliseconds(priority, now);
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/WorkBasedPicker.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/WorkBasedPicker.java
@@ -50,9 +50,6 @@
     /** A repeat of a failed request depends on its success, so that targets with failures get it only at need. */
     private static final double REPEAT_FAILURE_COST = 40;
 
-    /** Delay of transfers at which a target gets a quarter of its part of the requests whose KV cache it has to fetch. */
-    private static final double TOLERATED_TRANSFER_DELAY_MILLISECONDS = 100;
-
     private static final int CROWDING_EXPONENT = 4;
     private static final int FAILURE_EXPONENT = 2;
     private static final int REPEAT_FAILURE_EXPONENT = 8;
@@ -248,18 +245,11 @@
         double share = 1 + (use * preference * slots - requests) / arrivals;
         double accepted = 1 - ServiceLoad.exceedance(requests + 0.5, load.capacity(slots), deviation);
         double reliable = power(1 - failureFraction(target, now), repeat ? REPEAT_FAILURE_EXPONENT : FAILURE_EXPONENT);
-        double prompt = prefilled ? promptTransfers(target, now) : 1;
-        double weight = rate * Math.max(MINIMUM_SHARE, Math.min(MAXIMUM_SHARE, share)) * accepted * reliable * prompt;
+        double weight = rate * Math.max(MINIMUM_SHARE, Math.min(MAXIMUM_SHARE, share)) * accepted * reliable;
         double otherZone = prefilled ? OTHER_ZONE_CACHE_WEIGHT : OTHER_ZONE_WEIGHT;
         return Math.max(MINIMUM_WEIGHT, sameZone(target, availabilityZone) ? weight : otherZone * weight);
     }
 
-    /** Returns the part of the prefilled requests that a target gets whose transfers are delayed. */
-    private static double promptTransfers(TargetState target, long now) {
-        double relative = target.transferDelayMilliseconds(now) / TOLERATED_TRANSFER_DELAY_MILLISECONDS;
-        return 1 / ((1 + relative) * (1 + relative));
-    }
-
     private static double power(double base, int exponent) {
         double result = 1;
         for (int index = 0; index < exponent; index++) {
@@ -285,7 +275,6 @@
         double time = work.timeFactor(load.meanSlowdown(), now) * (cost.expectedMilliseconds() * sharing + waiting);
         double failureCost = repeat ? REPEAT_FAILURE_COST : FAILURE_COST;
         return time
-                + (cost.prefilled() ? target.transferDelayMilliseconds(now) : 0)
                 + cost.expectedMilliseconds()
                         * (failureCost * failureFraction(target, now)
                                 + (sameZone(target, availabilityZone) ? 0 : OTHER_ZONE_COST))
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressContext.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressContext.java
@@ -25,7 +25,6 @@
         TargetChooser targetChooser,
         PromptPlacement promptPlacement,
         PlacementBroadcaster placementBroadcaster,
-        TransferDelayBroadcaster transferDelays,
         ArrivedWorkExchange arrivedWork,
         TargetCrashDetector crashDetector,
         PromptQuarantine promptQuarantine,
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
@@ -185,7 +185,6 @@
                 createTargetChooser(loads, promptPlacement, metrics, random),
                 promptPlacement,
                 placementBroadcaster,
-                new TransferDelayBroadcaster(broadcaster, timers, directory, metrics),
                 arrivedWork,
                 crashDetector,
                 promptQuarantine,
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RemotePrefill.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RemotePrefill.java
@@ -189,23 +189,6 @@
         }
     }
 
-    /** Records that a runner has fetched the KV cache, with the time that this took. */
-    void recordCacheFetched(TargetExchange exchange) {
-        if (cacheSource.isEmpty()) {
-            return;
-        }
-        long now = context.timers().monotonicNanoseconds();
-        TargetState destination = exchange.target();
-        destination.recordKvCacheFetched(summary, now);
-        if (context.targetChooser().choosesByWork(destination.entry().service())) {
-            long elapsed = Duration.ofNanos(now - exchange.startedAt()).toMillis();
-            log.add(() -> "transfer_ms=" + elapsed);
-            int tokens = summary.sharedTokens() + summary.ownTokens();
-            placement.ifPresent(
-                    chosen -> context.transferDelays().record(chosen.target(), destination, tokens, (double) elapsed));
-        }
-    }
-
     /** Forgets the KV cache after a runner has fetched it or may have done so. */
     void onCacheFetched() {
         cacheSource = Optional.empty();
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestForwarder.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/RequestForwarder.java
@@ -343,8 +343,8 @@
         if (finished || exchange.ended()) {
             return;
         }
-        if (!executionStarted) {
-            prefill.recordCacheFetched(exchange);
+        if (!executionStarted && prefill.cacheSource().isPresent()) {
+            exchange.target().recordKvCacheFetched(summary, context.timers().monotonicNanoseconds());
         }
         markExecutionStarted();
         Buffer completeEvents = events.accept(bytes);
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetChooser.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/TargetChooser.java
@@ -97,11 +97,6 @@
                 () -> RequestLog.workChoiceFields(chosen, cost, spread)));
     }
 
-    /** Tells whether the targets of a service are chosen by work. */
-    boolean choosesByWork(String service) {
-        return loads.byWork(service).isPresent();
-    }
-
     /** Chooses the runner for the prefill of a prompt. */
     Optional<Placement> choosePrefill(
             String service,
