Store the size of the fleet only once its targets have registered

Cause: the number of targets was taken 5 s after the start, while entries were still arriving through the relay of the zone. It is now taken once it has stayed the same between two evaluations, which are a second apart and begin before the five seconds have passed, so that nothing waits where all targets have registered.

With the true number, 1.5 times the baseline is again planned until the load has been measured.

--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/FleetSize.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/FleetSize.java
@@ -12,11 +12,8 @@
  * thread-safe.
  */
 public final class FleetSize {
-    /**
-     * Planned targets per baseline target until the load has been measured. The first prompts meet empty caches, and the
-     * loss of a zone must leave more than the baseline.
-     */
-    private static final double UNMEASURED_FACTOR = 2;
+    /** Planned targets per baseline target until the load has been measured: a wave's peak, less the cost of a surge. */
+    private static final double UNMEASURED_FACTOR = 1.5;
     /** Planned targets per baseline target of the constant plan, if preemptible targets are offered and if not. */
     private static final double CONSTANT_PREEMPTIBLE_FACTOR = 3;
 
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/FleetScaler.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/FleetScaler.java
@@ -15,13 +15,14 @@
 import io.fireflywalk.daemon.ingress.FleetStore.Table;
 import io.fireflywalk.services.codec.Codec;
 import io.fireflywalk.services.time.TimerService;
-import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.core.Maybe;
 import io.reactivex.rxjava3.disposables.CompositeDisposable;
 import io.vertx.core.buffer.Buffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -60,6 +61,10 @@
     private final TimerService timers;
     private final long startedAt;
     private final Map<String, Integer> initialSizes = new HashMap<>();
+    /** Regular targets at the latest evaluation, by service, until the size of its fleet is known. */
+    private final Map<String, Integer> registeredTargets = new HashMap<>();
+
+    private final Set<String> settledServices = new HashSet<>();
     private final Map<TargetGroup, ScalingCall> latestCalls = new HashMap<>();
     private final Map<String, StageCommand> stageCommands = new HashMap<>();
     private final CompositeDisposable subscriptions = new CompositeDisposable();
@@ -112,6 +117,7 @@
         if (coordinator.fencingToken().isEmpty()) {
             demandPlanner.clear();
         }
+        configuration.current().ifPresent(current -> current.services().forEach(this::observeRegistrations));
         if (settings.reports().isEmpty()
                 || coordinator.fencingToken().isEmpty()
                 || configuration.current().isEmpty()
@@ -125,6 +131,26 @@
         }
     }
 
+    /** Records whether as many targets are registered as at the last evaluation; they register within some seconds. */
+    private void observeRegistrations(ServiceProfile service) {
+        if (service.scaling().isEmpty() || initialSizes.containsKey(service.name())) {
+            return;
+        }
+        int registered = regularTargets(service.name());
+        Integer before = registeredTargets.put(service.name(), registered);
+        if (before != null && before == registered) {
+            settledServices.add(service.name());
+        } else {
+            settledServices.remove(service.name());
+        }
+    }
+
+    private int regularTargets(String service) {
+        return (int) directory.forService(service).stream()
+                .filter(target -> !target.entry().preemptible())
+                .count();
+    }
+
     private void scale(ServiceProfile service) {
         Integer baselineTargets = initialSizes.get(service.name());
         if (baselineTargets == null) {
@@ -228,18 +254,22 @@
                 .collect(Collectors.toSet());
     }
 
-    /** Returns the stored size of the fleet; if there is none, stores the current number of regular targets. */
-    private Single<Integer> initialSize(String service) {
+    /**
+     * Returns the stored size of the fleet. If there is none, stores the current number of regular targets, once it has
+     * stayed the same between two evaluations.
+     */
+    private Maybe<Integer> initialSize(String service) {
         String key = SIZE_PREFIX + service;
-        return store.read(Table.FLEET, key, key + '\0', 1).flatMap(page -> {
+        return store.read(Table.FLEET, key, key + '\0', 1).flatMapMaybe(page -> {
             if (!page.rows().isEmpty()) {
                 Buffer value = page.rows().get(0).value().orElse(Buffer.buffer("{}"));
                 JsonNode node = Codec.json().read(value.toString(StandardCharsets.UTF_8), JsonNode.class, key);
-                return Single.just(node.path("targets").asInt());
+                return Maybe.just(node.path("targets").asInt());
+            }
+            if (!settledServices.contains(service)) {
+                return Maybe.empty();
             }
-            int registered = (int) directory.forService(service).stream()
-                    .filter(target -> !target.entry().preemptible())
-                    .count();
+            int registered = regularTargets(service);
             String value = Codec.json()
                     .mapper()
                     .createObjectNode()
@@ -248,7 +278,8 @@
             return store.commit(RowTransaction.empty()
                             .withPrecondition(Table.FLEET, key, 0)
                             .withWrite(Table.FLEET, key, Buffer.buffer(value)))
-                    .map(result -> registered);
+                    .map(result -> registered)
+                    .toMaybe();
         });
     }
 
