Discard interim responses whatever the connection has carried

Callers of serve got 502 when a target sent an interim response on a connection that had carried a HEAD request, the 17th interim response to one request, or one with Connection: close. Calls of the clients of fireflywalk-services ended with the status 102 or 101 of such a response, and an interim response on an idle connection closed it.

Cause: TargetConnectionState counted interim responses as second responses. Behind a HEAD request these are not safe to skip, because the decoder may look for a body that is not there; an interim response never has a body. The HTTP library of the clients knows the statuses 100 and 103 only.

Change: InterimResponseLimit has the rule for TargetConnectionState and for ResponseDecoder, which discards interim responses for all clients but that of serve. 64 to one request are discarded, those behind its final response included; one more, or 101, closes the connection. A status below 100 is not interim. In serve, an interim response that announces the end of the connection closes it only while no request is in progress. Second responses keep their own limit of 16.

--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetConnectionState.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/TargetConnectionState.java
@@ -17,13 +17,14 @@
     /** Bytes of the bodies of such responses. */
     private static final int MAXIMUM_EXTRA_BYTES = 65_536;
 
-    private static final int STATUS_SWITCHING_PROTOCOLS = 101;
     private static final int STATUS_OK = 200;
 
     private final long number;
     /** Hash codes of identifiers, whose length callers choose; two equal ones only cost a connection. */
     private final Set<Integer> identifiers = new LinkedHashSet<>();
 
+    private final InterimResponseLimit interimResponses = new InterimResponseLimit();
+
     private Optional<String> current = Optional.empty();
     private Phase phase = Phase.IDLE;
     private boolean discarding;
@@ -74,6 +75,7 @@
         carriedBodiless |= bodiless;
         phase = Phase.HEAD;
         requests++;
+        interimResponses.requestSent();
         extraResponses = 0;
         extraBytes = 0;
         identifier.ifPresent(this::remember);
@@ -90,7 +92,8 @@
     /**
      * Decides about a response by its head. A response without an identifier, or with one that this connection has not
      * carried, is delivered to the request in progress: it may be the response to it, and who sent the request decides
-     * whether to trust it. Without a request in progress, such a response closes the connection.
+     * whether to trust it. Without a request in progress, such a response closes the connection. Interim responses are
+     * discarded, also those to an earlier request.
      */
     public Decision responseHead(int status, Optional<String> identifier) {
         boolean known =
@@ -101,11 +104,12 @@
             return Decision.DELIVER;
         }
         discarding = true;
+        if (InterimResponseLimit.isInterim(status)) {
+            return interimResponses.allows(status) ? Decision.DISCARD : Decision.CLOSE;
+        }
         extraResponses++;
-        boolean switchesProtocols = status == STATUS_SWITCHING_PROTOCOLS;
-        boolean interim = status < STATUS_OK;
         // After a HEAD request it is not known whether the codec looks for a body in the right response.
-        return switchesProtocols || !(known || interim) || carriedBodiless || extraResponses > MAXIMUM_EXTRA_RESPONSES
+        return !known || carriedBodiless || extraResponses > MAXIMUM_EXTRA_RESPONSES
                 ? Decision.CLOSE
                 : Decision.DISCARD;
     }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/ExtraResponseFilter.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/ExtraResponseFilter.java
@@ -1,5 +1,6 @@
 package io.fireflywalk.daemon.ingress;
 
+import io.fireflywalk.core.ingress.InterimResponseLimit;
 import io.fireflywalk.core.ingress.TargetConnectionState;
 import io.fireflywalk.core.ingress.TargetConnectionState.Decision;
 import io.fireflywalk.services.http.StatusLines;
@@ -15,7 +16,6 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
@@ -148,11 +148,14 @@
     }
 
     /** Tells whether no other response can follow on the connection. */
-    private static boolean endsConnection(HttpResponse response) {
+    private boolean endsConnection(HttpResponse response) {
+        if (InterimResponseLimit.isInterim(response.status().code())) {
+            // The final response to the request in progress can still follow.
+            return !HttpUtil.isKeepAlive(response) && !state.requestInProgress();
+        }
         boolean framed = HttpUtil.isContentLengthSet(response)
                 || HttpUtil.isTransferEncodingChunked(response)
-                || BODILESS.contains(response.status())
-                || response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+                || BODILESS.contains(response.status());
         return !framed || !HttpUtil.isKeepAlive(response);
     }
 
--- a/fireflywalk-services/src/main/java/io/fireflywalk/services/http/ResponseCodec.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/http/ResponseCodec.java
@@ -47,7 +47,8 @@
      * Replaces the codec of a new connection, which must not have read anything yet.
      *
      * @param headers factory of the headers of responses
-     * @param requestInProgress tells whether a request on the connection waits for the end of its response
+     * @param requestInProgress tells whether a request on the connection waits for the end of its response; the user also
+     *     decides about interim responses
      */
     public static ResponseCodec install(
             HttpConnection connection,
@@ -59,7 +60,8 @@
 
     /**
      * Replaces the codec of a new connection, which must not have read anything yet. A request is in progress from its
-     * head to the end of the next final response.
+     * head to the end of the next final response. Interim responses are discarded; too many to one request and a switch of
+     * protocols are decoded as invalid.
      */
     public static ResponseCodec install(HttpConnection connection, Listener listener) {
         return install(
--- a/fireflywalk-services/src/main/java/io/fireflywalk/services/http/ResponseDecoder.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/http/ResponseDecoder.java
@@ -1,5 +1,6 @@
 package io.fireflywalk.services.http;
 
+import io.fireflywalk.core.ingress.InterimResponseLimit;
 import io.fireflywalk.services.http.ResponseCodec.Listener;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
@@ -12,7 +13,6 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
-import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.http.HttpClientOptions;
@@ -23,14 +23,18 @@
 
 /**
  * Decoder of the responses on a connection. It decodes a response as invalid whose head or trailers contain a second status
- * line, and a body as invalid that {@link ChunkSizeCheck} refuses; nothing follows an invalid part. Confined to the event
- * loop of the connection.
+ * line, and a body as invalid that {@link ChunkSizeCheck} refuses; nothing follows an invalid part. It discards interim
+ * responses unless its user follows the requests, and decodes one as invalid that {@link InterimResponseLimit} does not
+ * allow. Confined to the event loop of the connection.
  */
 final class ResponseDecoder extends HttpResponseDecoder {
     private static final String PROTOCOL = "HTTP/";
 
     private final BooleanSupplier requestInProgress;
     private final Listener listener;
+    /** Absent if interim responses are delivered. */
+    private final Optional<InterimResponseLimit> interimResponses;
+
     private final ChunkSizeCheck chunkSizes = new ChunkSizeCheck();
     private boolean finalResponseDue;
     private boolean interim;
@@ -47,7 +51,8 @@
      * Creates the decoder of one connection.
      *
      * @param requestInProgress tells whether a request on the connection waits for the end of its response; by default,
-     *     one does from when it is sent to the end of the next final response
+     *     one does from when it is sent to the end of the next final response. A user that passes this follows the
+     *     requests itself and gets the interim responses too.
      */
     ResponseDecoder(HttpHeadersFactory headers, Optional<BooleanSupplier> requestInProgress, Listener listener) {
         // The limits are those of the HTTP client's own codec.
@@ -58,6 +63,8 @@
                 .setInitialBufferSize(HttpClientOptions.DEFAULT_DECODER_INITIAL_BUFFER_SIZE)
                 .setHeadersFactory(headers));
         this.requestInProgress = requestInProgress.orElse(() -> finalResponseDue);
+        this.interimResponses =
+                requestInProgress.isPresent() ? Optional.empty() : Optional.of(new InterimResponseLimit());
         this.listener = listener;
     }
 
@@ -69,6 +76,7 @@
     void requestSent(boolean withoutBody) {
         finalResponseDue = true;
         bodiless = withoutBody;
+        interimResponses.ifPresent(InterimResponseLimit::requestSent);
     }
 
     boolean acceptsRequests() {
@@ -90,7 +98,8 @@
 
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
-        interim = ((HttpResponse) message).status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        interim =
+                InterimResponseLimit.isInterim(((HttpResponse) message).status().code());
         return bodiless || super.isContentAlwaysEmpty(message);
     }
 
@@ -125,12 +134,17 @@
     }
 
     private void checkDecoded(List<Object> output) {
-        if (output.get(0) instanceof HttpMessage head) {
+        if (output.get(0) instanceof HttpResponse head) {
             decodingBody = true;
             if (secondStatusLine.isPresent() && head.decoderResult().isSuccess()) {
                 head.setDecoderResult(refusal());
                 releaseBehind(output, 1);
             }
+            if (interim && head.decoderResult().isSuccess() && !allowsInterim(head)) {
+                head.setDecoderResult(DecoderResult.failure(new IllegalArgumentException(
+                        "the server switched protocols or sent too many interim responses")));
+                releaseBehind(output, 1);
+            }
         }
         int last = output.size() - 1;
         if (output.get(last) instanceof LastHttpContent end) {
@@ -147,6 +161,14 @@
         }
         failed = output.stream()
                 .anyMatch(part -> ((HttpObject) part).decoderResult().isFailure());
+        if (interim && interimResponses.isPresent() && !failed) {
+            // An interim response has no body, so the step has decoded the whole of it.
+            releaseBehind(output, 0);
+        }
+    }
+
+    private boolean allowsInterim(HttpResponse head) {
+        return interimResponses.map(limit -> limit.allows(head.status().code())).orElse(true);
     }
 
     private DecoderResult refusal() {
