Answer late and long heads with the status of their limit

Callers whose head did not end in time, or became too long after some of its header lines had been read, got 400 "the request is not valid HTTP" in place of 408 and 431, and thus no hint that the same request may be sent again.

Cause: the decoder is given invalid lines to read in place of those over the limit, and the check that reports the limit runs where it splits a name off a line. Netty rejects a line without a colon before that. The lines have a colon now.

Evidence: RequestHeadLimitTest checks that a head that does not end within headerTimeoutMs is answered with 408, or its connection is closed, within the documented 2 s and as much for a slow machine.

--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/StrictRequestDecoder.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/StrictRequestDecoder.java
@@ -44,7 +44,8 @@
     /** Lines that the decoder cannot read as a request line, a header, a trailer or a chunk size. */
     private static final byte[] INVALID_REQUEST_LINE = "- - -\r\n".getBytes(StandardCharsets.US_ASCII);
 
-    private static final byte[] INVALID_LINES = "-\r\n-\r\n".getBytes(StandardCharsets.US_ASCII);
+    /** The decoder passes only the name of a line with a colon on to the check that reports the limit. */
+    private static final byte[] INVALID_LINES = "-:\r\n-:\r\n".getBytes(StandardCharsets.US_ASCII);
 
     /** What waits is kept in the heap: a direct buffer of a few bytes would keep a whole chunk of its pool. */
     private static final ByteBufAllocator HEAP = new UnpooledByteBufAllocator(false);
