Limit heads of callers to maxHeaderBytes of the configuration in force

Callers could send header lines of up to 65,536 bytes although the configurations allow 16,384, because maxHeaderBytes was not decoded, and a long request line took from what the header lines may have.

HeadMeter limits the header lines of a head, with their line ends and without the request line and the empty line at the end, to the smaller of callerLimits.headBytes and maxHeaderBytes, and to callerLimits.headBytes until a configuration has been read. The limit is read while a head arrives, so that a new configuration applies at once. Trailers and the listeners that are not for callers keep callerLimits.headBytes.

--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/CallerBounds.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/CallerBounds.java
@@ -1,11 +1,12 @@
 package io.fireflywalk.core.ingress;
 
 import java.time.Duration;
+import java.util.Optional;
 
 /**
  * Limits that protect an instance from its callers. No caller within the limits of a configuration meets the defaults.
  *
- * @param headBytes bytes of a head, or of trailers, with the ends of lines
+ * @param headBytes bytes of the header lines of a head, or of trailers, with the ends of lines
  * @param headLines lines of a head, or of trailers
  * @param foldedLines lines of a head, or of trailers, that continue the line before
  * @param emptyLineBytes bytes before a request line
@@ -48,6 +49,11 @@
 
     private static final int MINIMUM_CONNECTIONS = 16;
 
+    /** Returns the bytes of the header lines that a request may have; empty if no configuration has been read. */
+    public int headBytesWith(Optional<CallerLimits> configured) {
+        return configured.map(limits -> Math.min(headBytes, limits.headBytes())).orElse(headBytes);
+    }
+
     /** Returns the connections of callers for a process that may open a number of files. */
     public static int connectionsFor(long descriptors) {
         long connections = Math.min(descriptors / DESCRIPTORS_DIVISOR, descriptors - RESERVED_DESCRIPTORS);
--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/HeadMeter.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/HeadMeter.java
@@ -1,6 +1,7 @@
 package io.fireflywalk.core.ingress;
 
 import java.util.Optional;
+import java.util.function.IntSupplier;
 
 /**
  * Counts what a decoder has read since its last message: empty lines, then a head; or the lines between two chunks, or
@@ -18,13 +19,28 @@
     private static final int INCOMPLETE_BYTE_COST = 4;
 
     private final CallerBounds bounds;
-    private boolean beforeRequest = true;
+    private final IntSupplier headBytes;
+    private Part part = Part.EMPTY_LINES;
+    private int requestLineBytes;
     private int bytes;
     private int lines;
     private int foldedLines;
 
-    public HeadMeter(CallerBounds bounds) {
+    /** Part of a request that is being read. */
+    private enum Part {
+        EMPTY_LINES,
+        HEAD,
+        BODY
+    }
+
+    /**
+     * Creates a meter.
+     *
+     * @param headBytes bytes of the header lines that are allowed in a head at present
+     */
+    public HeadMeter(CallerBounds bounds, IntSupplier headBytes) {
         this.bounds = bounds;
+        this.headBytes = headBytes;
     }
 
     /** Returns the heap that a head takes with its request, an estimate from above. */
@@ -35,17 +51,22 @@
     /** Starts anew because a request is complete. */
     public void requestEnded() {
         messageDecoded();
-        beforeRequest = true;
+        part = Part.EMPTY_LINES;
     }
 
-    /** Starts anew because a request line has been read. */
-    public void headStarted() {
+    /** Starts anew because a request line has been read, whose bytes take memory but do not count towards the limit. */
+    public void headStarted(int bytesOfRequestLine) {
         messageDecoded();
-        beforeRequest = false;
+        requestLineBytes = bytesOfRequestLine;
+        part = Part.HEAD;
     }
 
     /** Starts anew because a head or a part of a body is complete. */
     public void messageDecoded() {
+        if (part == Part.HEAD) {
+            part = Part.BODY;
+        }
+        requestLineBytes = 0;
         bytes = 0;
         lines = 0;
         foldedLines = 0;
@@ -61,10 +82,10 @@
 
     /** Returns the limit that the bytes so far exceed together with those of an incomplete line. */
     public Optional<CallerLimit> exceeded(int incompleteBytes) {
-        if (beforeRequest) {
+        if (isBeforeRequest()) {
             return bytes > bounds.emptyLineBytes() ? Optional.of(CallerLimit.EMPTY_LINES) : Optional.empty();
         }
-        if (bytes + incompleteBytes > bounds.headBytes()) {
+        if (bytes + incompleteBytes > (part == Part.HEAD ? headBytes.getAsInt() : bounds.headBytes())) {
             return Optional.of(CallerLimit.HEAD_BYTES);
         }
         if (lines > bounds.headLines()) {
@@ -75,11 +96,12 @@
 
     /** Tells whether a request line has not been read. */
     public boolean isBeforeRequest() {
-        return beforeRequest;
+        return part == Part.EMPTY_LINES;
     }
 
     /** Returns the estimated memory of what has been read since the last message, and of an incomplete line. */
     public long cost(int incompleteBytes) {
-        return (beforeRequest ? 0 : cost(bytes, lines)) + (long) INCOMPLETE_BYTE_COST * incompleteBytes;
+        return (isBeforeRequest() ? 0 : cost(requestLineBytes + bytes, lines))
+                + (long) INCOMPLETE_BYTE_COST * incompleteBytes;
     }
 }
--- a/fireflywalk-core/src/test/java/io/fireflywalk/core/ingress/CallerMemoryProperties.java
+++ b/fireflywalk-core/src/test/java/io/fireflywalk/core/ingress/CallerMemoryProperties.java
@@ -90,19 +90,32 @@
 
     @Example
     void largestHeadOfAConfigurationMeetsNoLimit() {
-        HeadMeter meter = new HeadMeter(BOUNDS);
-        meter.headStarted();
+        HeadMeter meter = new HeadMeter(BOUNDS, BOUNDS::headBytes);
+        meter.headStarted(16_384);
         assertEquals(Optional.empty(), meter.add(16_384, 5461, 0));
         CallerMemory smallest = new CallerMemory(CallerMemory.bytesOfHeap(0));
         assertTrue(smallest.grow(smallest.open("address", () -> {}), meter.cost(0)));
     }
 
+    /** Guards against a limit of the configuration that counts the request line, or that trailers meet. */
+    @Example
+    void configurationLimitsTheHeaderLinesOfHeads() {
+        Optional<CallerLimits> stated = Optional.of(new CallerLimits(1000, 16_384, Duration.ZERO, Duration.ZERO));
+        assertEquals(65_536, BOUNDS.headBytesWith(Optional.empty()));
+        HeadMeter meter = new HeadMeter(BOUNDS, () -> BOUNDS.headBytesWith(stated));
+        meter.headStarted(16_384);
+        assertEquals(Optional.empty(), meter.add(16_384, 1, 0));
+        assertEquals(Optional.of(CallerLimit.HEAD_BYTES), meter.exceeded(1));
+        meter.messageDecoded();
+        assertEquals(Optional.empty(), meter.add(65_536, 1, 0));
+    }
+
     @Example
     void eachLimitIsFoundInManySmallSteps() {
-        HeadMeter meter = new HeadMeter(BOUNDS);
+        HeadMeter meter = new HeadMeter(BOUNDS, BOUNDS::headBytes);
         assertEquals(CallerLimit.EMPTY_LINES, firstLimit(meter, 2, 0, 0));
         for (CallerLimit limit : List.of(CallerLimit.HEAD_BYTES, CallerLimit.HEAD_LINES, CallerLimit.FOLDED_LINES)) {
-            meter.headStarted();
+            meter.headStarted(0);
             int lines = limit == CallerLimit.HEAD_BYTES ? 0 : 1;
             int folded = limit == CallerLimit.FOLDED_LINES ? 1 : 0;
             assertEquals(limit, firstLimit(meter, 3, lines, folded));
--- a/fireflywalk-core/src/test/java/io/fireflywalk/core/ingress/RoutingConfigurationTest.java
+++ b/fireflywalk-core/src/test/java/io/fireflywalk/core/ingress/RoutingConfigurationTest.java
@@ -23,7 +23,7 @@
             List.of(),
             Map.of("key", "account"),
             true,
-            new CallerLimits(1000, Duration.ofSeconds(1), Duration.ofSeconds(1)));
+            new CallerLimits(1000, 16_384, Duration.ofSeconds(1), Duration.ofSeconds(1)));
 
     static HostRoute route(String name, String host, String prefix, RequestKind kind, boolean resumable) {
         return new HostRoute(
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
@@ -379,7 +379,14 @@
     }
 
     private ListenerGuard internalGuard() {
-        return new ListenerGuard(timers, callerMemory, callerBounds, callerBounds.internalConnections(), metrics);
+        // The configuration must not lock out readiness checks and the instances that pass on a newer configuration.
+        return new ListenerGuard(
+                timers,
+                callerMemory,
+                callerBounds,
+                callerBounds::headBytes,
+                callerBounds.internalConnections(),
+                metrics);
     }
 
     /** Retries until the port is free, because the process that this one replaces may still hold it. */
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressServer.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressServer.java
@@ -25,7 +25,8 @@
     private static final Logger LOG = Logger.getLogger(IngressServer.class);
     private static final String LOCATION = "ingress";
     /** Limits of callers' connections until a configuration states them. */
-    private static final CallerLimits DEFAULT_LIMITS = new CallerLimits(0, Duration.ofSeconds(30), Duration.ZERO);
+    private static final CallerLimits DEFAULT_LIMITS =
+            new CallerLimits(0, Integer.MAX_VALUE, Duration.ofSeconds(30), Duration.ZERO);
 
     private static final Duration IDLE_CHECK_INTERVAL = Duration.ofSeconds(1);
     /** Time that a caller gets to send a request on a connection before the connection counts as idle. */
@@ -47,7 +48,13 @@
             CallerBounds bounds,
             CallerMemory memory) {
         this.bounds = bounds;
-        this.guard = new ListenerGuard(context.timers(), memory, bounds, bounds.connections(), context.metrics());
+        this.guard = new ListenerGuard(
+                context.timers(),
+                memory,
+                bounds,
+                () -> bounds.headBytesWith(context.configuration().current().map(RoutingConfiguration::limits)),
+                bounds.connections(),
+                context.metrics());
         this.context = context;
         this.limits = limits;
         this.vertx = vertx;
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/ListenerGuard.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/ListenerGuard.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.IntSupplier;
 import java.util.function.Predicate;
 
 /**
@@ -33,6 +34,7 @@
     private final TimerService timers;
     private final CallerMemory memory;
     private final CallerBounds bounds;
+    private final IntSupplier headBytes;
     private final int maximumConnections;
     private final IngressMetrics metrics;
     private final HttpServerOptions options;
@@ -41,15 +43,22 @@
     /** A connection with its decoder. */
     private record Guarded(CallerConnection connection, StrictRequestDecoder decoder) {}
 
+    /**
+     * Creates the guard of one listener.
+     *
+     * @param headBytes bytes of the header lines that are allowed in a head at present
+     */
     ListenerGuard(
             TimerService timers,
             CallerMemory memory,
             CallerBounds bounds,
+            IntSupplier headBytes,
             int maximumConnections,
             IngressMetrics metrics) {
         this.timers = timers;
         this.memory = memory;
         this.bounds = bounds;
+        this.headBytes = headBytes;
         this.maximumConnections = maximumConnections;
         this.metrics = metrics;
         this.options = new HttpServerOptions()
@@ -94,6 +103,7 @@
                 connection,
                 options,
                 bounds,
+                headBytes,
                 added,
                 limit -> metrics.limitMet(timers.monotonicNanoseconds(), limit, address));
         connections.put(connection, new Guarded(added, decoder));
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/StrictRequestDecoder.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/StrictRequestDecoder.java
@@ -29,6 +29,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
 
 /**
  * Request decoder that refuses what violates {@link RequestFraming} or {@link ChunkSizeCheck}, or meets a {@link
@@ -66,12 +67,13 @@
     private StrictRequestDecoder(
             HttpServerOptions options,
             CallerBounds bounds,
+            IntSupplier headBytes,
             CallerConnection connection,
             Consumer<CallerLimit> onLimit) {
         super(options);
         setCumulator((unused, cumulation, input) -> cumulate(cumulation, input));
         this.bounds = bounds;
-        this.meter = new HeadMeter(bounds);
+        this.meter = new HeadMeter(bounds, headBytes);
         this.connection = connection;
         this.onLimit = onLimit;
     }
@@ -79,17 +81,19 @@
     /**
      * Replaces the decoder of a new connection, which must not have read anything yet.
      *
+     * @param headBytes bytes of the header lines that are allowed in a head at present
      * @param onLimit receives each limit that the caller meets
      */
     static StrictRequestDecoder install(
             HttpConnection connection,
             HttpServerOptions options,
             CallerBounds bounds,
+            IntSupplier headBytes,
             CallerConnection caller,
             Consumer<CallerLimit> onLimit) {
         ChannelPipeline pipeline =
                 ((HttpServerConnection) connection).channelHandlerContext().pipeline();
-        StrictRequestDecoder decoder = new StrictRequestDecoder(options, bounds, caller, onLimit);
+        StrictRequestDecoder decoder = new StrictRequestDecoder(options, bounds, headBytes, caller, onLimit);
         pipeline.replace(DECODER_NAME, DECODER_NAME, decoder);
         pipeline.addBefore(DECODER_NAME, RESUMPTION_NAME, new ChannelOutboundHandlerAdapter() {
             @Override
@@ -210,15 +214,15 @@
             meter.add(scan.emptyBytes(), 0, 0).ifPresent(this::exceed);
         }
         if (scan.hasRequestLine()) {
-            meter.headStarted();
+            meter.headStarted(scan.requestLineBytes());
         }
         if (!meter.isBeforeRequest()) {
             meter.add(scan.bytes(), scan.lines(), scan.foldedLines()).ifPresent(this::exceed);
-            if (!scan.complete()) {
+            if (!scan.isComplete()) {
                 meter.exceeded(scan.incompleteBytes()).ifPresent(this::exceed);
             }
         }
-        if (!scan.complete() && (scan.incompleteBytes() > 0 || !meter.isBeforeRequest())) {
+        if (!scan.isComplete() && (scan.incompleteBytes() > 0 || !meter.isBeforeRequest())) {
             connection.startHead();
         }
         if (limitViolation.isEmpty() && !connection.holdUndecoded(meter.cost(scan.incompleteBytes()))) {
@@ -229,7 +233,8 @@
     /** Checks lines between chunks and trailers, which hold memory until the request ends. */
     private void checkLinesOfBody(ByteBuf input, int start) {
         HeadScan scan = HeadScan.of(input.slice(start, input.readerIndex() - start), false);
-        meter.add(scan.bytes(), scan.lines(), scan.foldedLines()).ifPresent(this::exceed);
+        meter.add(scan.bytes() + scan.endBytes(), scan.lines(), scan.foldedLines())
+                .ifPresent(this::exceed);
         if (limitViolation.isEmpty() && !connection.holdUndecoded(meter.cost(0))) {
             exceed(CallerLimit.MEMORY);
         }
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/ConfigurationHolderProperties.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/ConfigurationHolderProperties.java
@@ -40,7 +40,7 @@
                     List.of(),
                     Map.of(),
                     true,
-                    new CallerLimits(1000, Duration.ofSeconds(1), Duration.ofSeconds(1)));
+                    new CallerLimits(1000, 16_384, Duration.ofSeconds(1), Duration.ofSeconds(1)));
         }
 
         @Override
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/FleetScalerTest.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/FleetScalerTest.java
@@ -55,7 +55,7 @@
                     List.of(new ServiceProfile("service", 100, engine, Optional.of(scaling))),
                     Map.of(),
                     true,
-                    new CallerLimits(1000, Duration.ofSeconds(1), Duration.ofSeconds(1)));
+                    new CallerLimits(1000, 16_384, Duration.ofSeconds(1), Duration.ofSeconds(1)));
         }
 
         @Override
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/QuotaExchangeTest.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/QuotaExchangeTest.java
@@ -56,7 +56,7 @@
         @Override
         public RoutingConfiguration configuration(Buffer value) {
             Quotas quotas = new Quotas(Map.of(ACCOUNT, QUOTA), Set.of());
-            CallerLimits limits = new CallerLimits(1000, Duration.ZERO, Duration.ZERO);
+            CallerLimits limits = new CallerLimits(1000, 16_384, Duration.ZERO, Duration.ZERO);
             return new RoutingConfiguration(1, List.of(), List.of(), Map.of(), true, limits, quotas);
         }
 
