Notice the end of connections behind pipelined requests

After callers with many pipelined requests had left, an instance went on answering ordinary requests with 503 no_target until the targets had answered the requests in progress, and kept the memory of the connections so long.

Cause: the HTTP server stops to read a connection when eight messages wait, and only reading notices the end of a connection. The request in progress was not cancelled, and its place at the target, its body and its heads outlived the connection.

Evidence: PipelinedCallerTest leaves 1, 8, 30 and 60 requests behind whose target does not answer, and expects the request in progress and the connection to end within 10 s. Before the change 3 of its 4 cases fail, all but the single request.

Change: each second, connections that the server does not read between two requests are read if at most 8 KiB of them wait undecoded. Connections within a body are left alone: reading them too made 3 of 9 cases of BodyMemoryBoundTest fail (503 in place of 200).

Result: 4 of 4 cases pass, and 9 of 9 of BodyMemoryBoundTest.

--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/ListenerGuard.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/ListenerGuard.java
@@ -133,14 +133,17 @@
     }
 
     /**
-     * Refuses requests whose heads take too long. With many connections, also closes those that have been open for as long
-     * without any request.
+     * Refuses requests whose heads take too long, and finds connections whose callers have left. With many connections, also
+     * closes those that have been open for as long without any request.
      */
     void closeUnfinished(Duration headTime) {
         Duration allowed = headTime.plus(READ_DELAY);
         for (HttpConnection late : matching(connection -> connection.isHeadLateBy(allowed))) {
             connections.get(late).decoder().refuse(late, CallerLimit.HEAD_TIME);
         }
+        // A copy, because the memory for what is read may be taken from other connections, which are closed.
+        List.copyOf(connections.entrySet())
+                .forEach(entry -> entry.getValue().decoder().readWhileStopped(entry.getKey()));
         if (connections.size() > NEARLY_FULL * maximumConnections) {
             closeWhere(connection -> connection.isUnused() && connection.isInactiveFor(allowed));
         }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/StrictRequestDecoder.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/StrictRequestDecoder.java
@@ -42,6 +42,9 @@
     private static final String RESUMPTION_NAME = "decoderResumption";
     /** Messages after which the HTTP server is asked whether it still reads. */
     private static final int STEPS_BETWEEN_CHECKS = 16;
+    /** Undecoded bytes up to which a connection is read although the HTTP server does not read: as many as one read takes. */
+    private static final int MAXIMUM_WAITING_BYTES = 8192;
+
     /** Lines that the decoder cannot read as a request line, a header, a trailer or a chunk size. */
     private static final byte[] INVALID_REQUEST_LINE = "- - -\r\n".getBytes(StandardCharsets.US_ASCII);
 
@@ -128,6 +131,26 @@
         }
     }
 
+    /**
+     * Reads a connection that the HTTP server does not read, if few of its bytes wait: only reading notices that the caller
+     * has left. The requests of such callers went on, and held their memory, until their targets had answered.
+     * A connection within a body is left alone, because bodies are paused until there is room for them.
+     */
+    void readWhileStopped(HttpConnection stoppedConnection) {
+        // Passes by the handler that takes a read for a sign that the HTTP server reads again.
+        ChannelHandlerContext context = ((HttpServerConnection) stoppedConnection)
+                .channelHandlerContext()
+                .pipeline()
+                .context(RESUMPTION_NAME);
+        if (context != null
+                && !readingBody
+                && !context.channel().config().isAutoRead()
+                && actualReadableBytes() <= MAXIMUM_WAITING_BYTES
+                && connection.holdUndecoded(actualReadableBytes())) {
+            context.read();
+        }
+    }
+
     /** Decodes what has waited, once the HTTP server reads again. */
     private void resumeLater(ChannelHandlerContext context) {
         if (stopped && context != null) {
