--- a/fireflywalk-core/src/test/java/io/fireflywalk/core/ingress/DecisionExplainerTest.java
+++ b/fireflywalk-core/src/test/java/io/fireflywalk/core/ingress/DecisionExplainerTest.java
@@ -96,7 +96,7 @@
                 2,
                 0,
                 List.of(new WeightedService("small", 1), new WeightedService("large", 3)));
-        CallerLimits limits = new CallerLimits(1000, Duration.ZERO, Duration.ZERO);
+        CallerLimits limits = new CallerLimits(1000, 1000, Duration.ZERO, Duration.ZERO);
         return new RoutingConfiguration(7, List.of(route), List.of(), Map.of("key", "account"), true, limits);
     }
 
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/ListenerGuard.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/ListenerGuard.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.IntSupplier;
 import java.util.function.Predicate;
 
 /**
@@ -33,6 +34,7 @@
     private final TimerService timers;
     private final CallerMemory memory;
     private final CallerBounds bounds;
+    private final IntSupplier headBytes;
     private final int maximumConnections;
     private final IngressMetrics metrics;
     private final HttpServerOptions options;
@@ -41,15 +43,22 @@
     /** A connection with its decoder. */
     private record Guarded(CallerConnection connection, StrictRequestDecoder decoder) {}
 
+    /**
+     * Creates the guard of one listener.
+     *
+     * @param headBytes bytes of the header lines that are allowed in a head at present
+     */
     ListenerGuard(
             TimerService timers,
             CallerMemory memory,
             CallerBounds bounds,
+            IntSupplier headBytes,
             int maximumConnections,
             IngressMetrics metrics) {
         this.timers = timers;
         this.memory = memory;
         this.bounds = bounds;
+        this.headBytes = headBytes;
         this.maximumConnections = maximumConnections;
         this.metrics = metrics;
         this.options = new HttpServerOptions()
@@ -94,6 +103,7 @@
                 connection,
                 options,
                 bounds,
+                headBytes,
                 added,
                 limit -> metrics.limitMet(timers.monotonicNanoseconds(), limit, address));
         connections.put(connection, new Guarded(added, decoder));
@@ -123,14 +133,17 @@
     }
 
     /**
-     * Refuses requests whose heads take too long. With many connections, also closes those that have been open for as long
-     * without any request.
+     * Refuses requests whose heads take too long, and finds connections whose callers have left. With many connections, also
+     * closes those that have been open for as long without any request.
      */
     void closeUnfinished(Duration headTime) {
         Duration allowed = headTime.plus(READ_DELAY);
         for (HttpConnection late : matching(connection -> connection.isHeadLateBy(allowed))) {
             connections.get(late).decoder().refuse(late, CallerLimit.HEAD_TIME);
         }
+        // A copy, because the memory for what is read may be taken from other connections, which are closed.
+        List.copyOf(connections.entrySet())
+                .forEach(entry -> entry.getValue().decoder().readWhileStopped(entry.getKey()));
         if (connections.size() > NEARLY_FULL * maximumConnections) {
             closeWhere(connection -> connection.isUnused() && connection.isInactiveFor(allowed));
         }
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/StrictRequestDecoder.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/StrictRequestDecoder.java
@@ -29,6 +29,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
 
 /**
  * Request decoder that refuses what violates {@link RequestFraming} or {@link ChunkSizeCheck}, or meets a {@link
@@ -41,10 +42,14 @@
     private static final String RESUMPTION_NAME = "decoderResumption";
     /** Messages after which the HTTP server is asked whether it still reads. */
     private static final int STEPS_BETWEEN_CHECKS = 16;
+    /** Undecoded bytes up to which a connection is read although the HTTP server does not read: as many as one read takes. */
+    private static final int MAXIMUM_WAITING_BYTES = 8192;
+
     /** Lines that the decoder cannot read as a request line, a header, a trailer or a chunk size. */
     private static final byte[] INVALID_REQUEST_LINE = "- - -\r\n".getBytes(StandardCharsets.US_ASCII);
 
-    private static final byte[] INVALID_LINES = "-\r\n-\r\n".getBytes(StandardCharsets.US_ASCII);
+    /** The decoder passes only the name of a line with a colon on to the check that reports the limit. */
+    private static final byte[] INVALID_LINES = "-:\r\n-:\r\n".getBytes(StandardCharsets.US_ASCII);
 
     /** What waits is kept in the heap: a direct buffer of a few bytes would keep a whole chunk of its pool. */
     private static final ByteBufAllocator HEAP = new UnpooledByteBufAllocator(false);
@@ -65,12 +70,13 @@
     private StrictRequestDecoder(
             HttpServerOptions options,
             CallerBounds bounds,
+            IntSupplier headBytes,
             CallerConnection connection,
             Consumer<CallerLimit> onLimit) {
         super(options);
         setCumulator((unused, cumulation, input) -> cumulate(cumulation, input));
         this.bounds = bounds;
-        this.meter = new HeadMeter(bounds);
+        this.meter = new HeadMeter(bounds, headBytes);
         this.connection = connection;
         this.onLimit = onLimit;
     }
@@ -78,17 +84,19 @@
     /**
      * Replaces the decoder of a new connection, which must not have read anything yet.
      *
+     * @param headBytes bytes of the header lines that are allowed in a head at present
      * @param onLimit receives each limit that the caller meets
      */
     static StrictRequestDecoder install(
             HttpConnection connection,
             HttpServerOptions options,
             CallerBounds bounds,
+            IntSupplier headBytes,
             CallerConnection caller,
             Consumer<CallerLimit> onLimit) {
         ChannelPipeline pipeline =
                 ((HttpServerConnection) connection).channelHandlerContext().pipeline();
-        StrictRequestDecoder decoder = new StrictRequestDecoder(options, bounds, caller, onLimit);
+        StrictRequestDecoder decoder = new StrictRequestDecoder(options, bounds, headBytes, caller, onLimit);
         pipeline.replace(DECODER_NAME, DECODER_NAME, decoder);
         pipeline.addBefore(DECODER_NAME, RESUMPTION_NAME, new ChannelOutboundHandlerAdapter() {
             @Override
@@ -123,6 +131,26 @@
         }
     }
 
+    /**
+     * Reads a connection that the HTTP server does not read, if few of its bytes wait: only reading notices that the caller
+     * has left. The requests of such callers went on, and held their memory, until their targets had answered.
+     * A connection within a body is left alone, because bodies are paused until there is room for them.
+     */
+    void readWhileStopped(HttpConnection stoppedConnection) {
+        // Passes by the handler that takes a read for a sign that the HTTP server reads again.
+        ChannelHandlerContext context = ((HttpServerConnection) stoppedConnection)
+                .channelHandlerContext()
+                .pipeline()
+                .context(RESUMPTION_NAME);
+        if (context != null
+                && !readingBody
+                && !context.channel().config().isAutoRead()
+                && actualReadableBytes() <= MAXIMUM_WAITING_BYTES
+                && connection.holdUndecoded(actualReadableBytes())) {
+            context.read();
+        }
+    }
+
     /** Decodes what has waited, once the HTTP server reads again. */
     private void resumeLater(ChannelHandlerContext context) {
         if (stopped && context != null) {
@@ -209,15 +237,15 @@
             meter.add(scan.emptyBytes(), 0, 0).ifPresent(this::exceed);
         }
         if (scan.hasRequestLine()) {
-            meter.headStarted();
+            meter.headStarted(scan.requestLineBytes());
         }
         if (!meter.isBeforeRequest()) {
             meter.add(scan.bytes(), scan.lines(), scan.foldedLines()).ifPresent(this::exceed);
-            if (!scan.complete()) {
+            if (!scan.isComplete()) {
                 meter.exceeded(scan.incompleteBytes()).ifPresent(this::exceed);
             }
         }
-        if (!scan.complete() && (scan.incompleteBytes() > 0 || !meter.isBeforeRequest())) {
+        if (!scan.isComplete() && (scan.incompleteBytes() > 0 || !meter.isBeforeRequest())) {
             connection.startHead();
         }
         if (limitViolation.isEmpty() && !connection.holdUndecoded(meter.cost(scan.incompleteBytes()))) {
@@ -228,7 +256,8 @@
     /** Checks lines between chunks and trailers, which hold memory until the request ends. */
     private void checkLinesOfBody(ByteBuf input, int start) {
         HeadScan scan = HeadScan.of(input.slice(start, input.readerIndex() - start), false);
-        meter.add(scan.bytes(), scan.lines(), scan.foldedLines()).ifPresent(this::exceed);
+        meter.add(scan.bytes() + scan.endBytes(), scan.lines(), scan.foldedLines())
+                .ifPresent(this::exceed);
         if (limitViolation.isEmpty() && !connection.holdUndecoded(meter.cost(0))) {
             exceed(CallerLimit.MEMORY);
         }
