Reserve descriptors for a class path of many jars

The script packages the modules first, and the process then keeps 151 jars of the class path of the tests open, as a listing of its descriptors during such a run showed.

The limit of connections left 216 descriptors of a small limit of open files to everything else. It leaves 248 now, so that a process with 320 descriptors accepts 72 connections of callers instead of 104. Limits of 496 and more are unchanged: half of the descriptors.

--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/CallerBounds.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/ingress/CallerBounds.java
@@ -44,8 +44,11 @@
     private static final int DESCRIPTORS_DIVISOR = 2;
 
     private static final int INTERNAL_DESCRIPTORS_DIVISOR = 10;
-    /** Files of classes, connections to one target and to the store, and connections that are opened and closed. */
-    private static final int RESERVED_DESCRIPTORS = 216;
+    /**
+     * Files of classes, of which a class path of many jars keeps 150 open, connections to one target and to the store, and
+     * connections that are being closed.
+     */
+    private static final int RESERVED_DESCRIPTORS = 248;
 
     private static final int MINIMUM_CONNECTIONS = 16;
 
