Refuse a body without length that its server did not end

Callers got the begun body of a 200 without length as a complete answer when the target reset the connection while the upload was still being written. Commits of the store, usage reports, orders, transactions and calls of peers looked done in the same way, and a prefill call whose answer was cut left a KV cache handle.

Cause: a reset that fails a write is reported by the failed write only. The connection is then closed without an exception, and the decoder takes each end of a connection for the end of a body without length. The same holds for a connection that this side closes.

Change, in the decoder of all HTTP clients: the end of the connection ends a body without length only if the whole request was written before, no exception came and this side did not close the connection. Otherwise the body is invalid, so that the attempt fails as one that may have run: retries and resumed streams go on elsewhere, other callers get 502 or a broken answer. An orderly end while the request is still being written is refused as well: the reset that follows it when the target closes its socket can no longer be seen.

--- a/fireflywalk-services/src/main/java/io/fireflywalk/services/http/ResponseCodec.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/http/ResponseCodec.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.impl.HttpClientConnectionInternal;
@@ -19,7 +20,8 @@
  * Codec of a connection of an HTTP client that carries one request at a time. A server may begin a response that nobody
  * waits for and not finish it; the bytes of the next response then follow in the middle of the first one. Such a
  * connection is closed as soon as no request is in progress, and a response whose head may have parts of two responses is
- * decoded as invalid. Confined to the event loop of the connection.
+ * decoded as invalid. So is a body without a length if the connection did not end in an orderly way, or before the whole
+ * request was written. Confined to the event loop of the connection.
  */
 public final class ResponseCodec extends CombinedChannelDuplexHandler<ResponseDecoder, HttpRequestEncoder> {
     /** Name under which the HTTP client adds its own codec. */
@@ -90,11 +92,27 @@
             if (!acceptsRequests()) {
                 ReferenceCountUtil.release(message);
                 promise.setFailure(new IOException("the connection is closed or holds the beginning of a response"));
-                var unused = context.close();
+                close(context, context.newPromise());
                 return;
             }
             inboundHandler().requestSent(request.method().equals(HttpMethod.HEAD));
         }
-        super.write(context, message, promise);
+        ChannelPromise written = promise;
+        if (message instanceof LastHttpContent) {
+            // A void promise, which a flush without a listener uses, takes no listeners.
+            written = promise.unvoid();
+            written.addListener(write -> {
+                if (write.isSuccess()) {
+                    inboundHandler().requestWritten();
+                }
+            });
+        }
+        super.write(context, message, written);
+    }
+
+    @Override
+    public void close(ChannelHandlerContext context, ChannelPromise promise) throws Exception {
+        inboundHandler().closing();
+        super.close(context, promise);
     }
 }
--- a/fireflywalk-services/src/main/java/io/fireflywalk/services/http/ResponseDecoder.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/http/ResponseDecoder.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.http.HttpClientOptions;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
@@ -23,9 +24,9 @@
 
 /**
  * Decoder of the responses on a connection. It decodes a response as invalid whose head or trailers contain a second status
- * line, and a body as invalid that {@link ChunkSizeCheck} refuses; nothing follows an invalid part. It discards interim
- * responses unless its user follows the requests, and decodes one as invalid that {@link InterimResponseLimit} does not
- * allow. Confined to the event loop of the connection.
+ * line, and a body as invalid that {@link ChunkSizeCheck} refuses or that may have been cut; nothing follows an invalid
+ * part. It discards interim responses unless its user follows the requests, and decodes one as invalid that
+ * {@link InterimResponseLimit} does not allow. Confined to the event loop of the connection.
  */
 final class ResponseDecoder extends HttpResponseDecoder {
     private static final String PROTOCOL = "HTTP/";
@@ -47,6 +48,11 @@
     private boolean failed;
     private boolean closed;
 
+    /** Requests that have been sent and whose last byte has not been written to the connection. */
+    private int unwrittenRequests;
+    /** True if the connection has failed or this side closes it, so that its end is not the server's. */
+    private boolean interrupted;
+
     /**
      * Creates the decoder of one connection.
      *
@@ -76,9 +82,20 @@
     void requestSent(boolean withoutBody) {
         finalResponseDue = true;
         bodiless = withoutBody;
+        unwrittenRequests++;
         interimResponses.ifPresent(InterimResponseLimit::requestSent);
     }
 
+    /** Records that the last byte of a request has been written to the connection. */
+    void requestWritten() {
+        unwrittenRequests--;
+    }
+
+    /** Records that this side closes the connection. */
+    void closing() {
+        interrupted = true;
+    }
+
     boolean acceptsRequests() {
         return !closed && !failed && !holdsUnfinishedResponse();
     }
@@ -188,10 +205,37 @@
         if (!closed && holdsUnfinishedResponse() && !(requestInProgress.getAsBoolean() && mayBecomeResponse())) {
             listener.onUnfinishedResponse(actualReadableBytes());
             closed = true;
+            interrupted = true;
             var unused = context.close();
         }
     }
 
+    /**
+     * Decodes what is left at the end of the connection. The end completes a body without a length only if the server
+     * has ended the connection and the whole request was written before. A reset that fails a write ends the connection
+     * without an exception, and an orderly end within the request may precede a reset.
+     */
+    @Override
+    protected void decodeLast(ChannelHandlerContext context, ByteBuf input, List<Object> output) throws Exception {
+        super.decodeLast(context, input, output);
+        int last = output.size() - 1;
+        // An end that a length or a chunk tells has been decoded before, which has ended the body.
+        boolean endedByConnection = decodingBody && last >= 0 && output.get(last) instanceof LastHttpContent;
+        if (endedByConnection && (interrupted || unwrittenRequests > 0)) {
+            LastHttpContent invalid = new DefaultLastHttpContent();
+            invalid.setDecoderResult(DecoderResult.failure(
+                    new IOException("the connection was lost within a response without a length")));
+            releaseBehind(output, last);
+            output.add(invalid);
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) throws Exception {
+        interrupted = true;
+        super.exceptionCaught(context, cause);
+    }
+
     /** Tells whether the bytes of which no line is complete can be the beginning of a status line. */
     private boolean mayBecomeResponse() {
         ByteBuf undecoded = internalBuffer();
