Refuse a response whose status is not of one of the five classes

A response with the status 000 kept its request waiting: serve answered 504 after the whole time, and the exchange held its place at the target meanwhile. run passed the status on ("HTTP/1.1 0 Unknown Status (0)"). A status of 600 and above reached callers, and "+200" and "0200" were read as 200.

Cause: the decoder takes any number for a status. One below 100 belongs to no class, so serve counted the response as an extra one, discarded it and waited for the next.

Requests that may be repeated went on elsewhere before too. Status lines without a reason passed before and pass now.

Change: a status code is three digits, the first of which is 1 to 5 (RFC 9110, section 15). Any other first line makes the response invalid, in the decoder of all HTTP clients, so that the attempt fails at once as one that may have run.

--- a/fireflywalk-services/src/main/java/io/fireflywalk/services/http/StatusLines.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/http/StatusLines.java
@@ -13,11 +13,15 @@
     private static final Pattern STATUS_LINE =
             Pattern.compile("HTTP/[0-9]+\\.[0-9]+[ \\t\\x0B\\f\\r]+\\+?[0-9]+(?!\\S)", Pattern.CASE_INSENSITIVE);
 
+    /** RFC 9110, section 15: three digits, the first of which names one of five classes. */
+    private static final Pattern STATUS_CODE = Pattern.compile("[1-5][0-9]{2}");
+
     private StatusLines() {}
 
-    /** Tells whether the words are the version and the code of a status line, so that it is found in the head it begins. */
+    /** Tells whether the words are the version and a valid code of a status line, which is found in the head it begins. */
     static boolean isStatusLine(String version, String code) {
-        return STATUS_LINE.matcher(version + " " + code).matches();
+        return STATUS_CODE.matcher(code).matches()
+                && STATUS_LINE.matcher(version + " " + code).matches();
     }
 
     /**
--- a/fireflywalk-services/src/test/java/io/fireflywalk/services/http/BrokenResponseToServiceCallTest.java
+++ b/fireflywalk-services/src/test/java/io/fireflywalk/services/http/BrokenResponseToServiceCallTest.java
@@ -23,6 +23,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against calls of services that succeed with a part of a response. */
 class BrokenResponseToServiceCallTest {
@@ -109,4 +110,41 @@
         String expected = ending == Ending.END_AFTER_UPLOAD ? "success" : call.failure.name();
         assertEquals(expected, outcome(call, "HTTP/1.1 200 OK\r\n\r\n" + call.body, ending, LONG_TEXT));
     }
+
+    static Stream<Arguments> callsAndInvalidStatusLines() {
+        return Stream.of(
+                        "HTTP/1.1 000 Status",
+                        "HTTP/1.1 000",
+                        "HTTP/1.1 099 Status",
+                        "HTTP/1.1 20 Status",
+                        "HTTP/1.1 0200 Status",
+                        "HTTP/1.1 +200 Status",
+                        "HTTP/1.1 600 Status",
+                        "HTTP/1.1 999 Status")
+                .flatMap(line -> Arrays.stream(Call.values()).map(call -> Arguments.of(line, call)));
+    }
+
+    @ParameterizedTest
+    @MethodSource("callsAndInvalidStatusLines")
+    void invalidStatusFailsAtOnce(String statusLine, Call call) throws Exception {
+        String response = statusLine + "\r\nContent-Length: " + call.body.length() + "\r\n\r\n" + call.body;
+        assertEquals(call.failure.name(), outcome(call, response, Ending.NONE, "text"));
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200",
+                "HTTP/1.1 200 ",
+                "HTTP/1.0 200 OK",
+                "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: value",
+                "HTTP/1.1 200 OK\r\nX-Empty:",
+                "HTTP/1.1 200 OK\r\nX-Other:\t one two : three\t "
+            })
+    void soundHeadSucceeds(String head) throws Exception {
+        for (Call call : Call.values()) {
+            String response = head + "\r\nContent-Length: " + call.body.length() + "\r\n\r\n" + call.body;
+            assertEquals("success", outcome(call, response, Ending.NONE, "text"));
+        }
+    }
 }
