Refuse a response whose head has an invalid field line

A response with "X Other: value" or "X-Other : value" in its head reached the caller as an answer, with the line passed on under the name before the blank. "Content-Length : 3" decided where the body ends, so that the caller got three bytes of it as the whole body.

Cause: the decoder ends a field name at a blank and drops what follows up to the colon. The checks behind it see decoded names only. A line that begins with a blank is joined to the value above it, and a line without a colon becomes a field without a value.

Control characters and DEL within a name were refused before.

Change: the lines of a head are checked as they were received, before anything is dropped. Each begins with a token and a colon (RFC 9112, section 5.1); otherwise the response is invalid, in the decoder of all HTTP clients. Folded lines are refused too, as section 5.2 allows: they cannot be told from a field with a blank before its name.

BegunResponseProperties took "Date : ..." and "Server version: 1" for sound headers, which they are not. They remain among the headers of begun responses, together with seven other invalid lines; the properties of sound responses have sound ones instead.

--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/gateway/InvalidHeadFaultTest.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/gateway/InvalidHeadFaultTest.java
@@ -43,4 +43,14 @@
     void invalidStatusFailsTheRequest(String statusLine, String path) throws Exception {
         assertFailure(statusLine, "", path);
     }
+
+    static Stream<Arguments> fieldLinesAndPaths() {
+        return paths(List.of("x other: value", "x-other : value", "x\u0001other: value", "content-length : 3"));
+    }
+
+    @ParameterizedTest
+    @MethodSource("fieldLinesAndPaths")
+    void invalidFieldLineFailsTheRequest(String field, String path) throws Exception {
+        assertFailure("HTTP/1.1 200 OK", "\r\n" + field, path);
+    }
 }
--- a/fireflywalk-services/src/main/java/io/fireflywalk/services/http/ResponseDecoder.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/http/ResponseDecoder.java
@@ -24,7 +24,7 @@
 
 /**
  * Decoder of the responses on a connection. It decodes a response as invalid whose head or trailers contain a second status
- * line, and a body as invalid that {@link ChunkSizeCheck} refuses or that may have been cut; nothing follows an invalid
+ * line or whose head contains an invalid field line, and a body as invalid that {@link ChunkSizeCheck} refuses or that may have been cut; nothing follows an invalid
  * part. It discards interim responses unless its user follows the requests, and decodes one as invalid that
  * {@link InterimResponseLimit} does not allow. Confined to the event loop of the connection.
  */
@@ -45,6 +45,9 @@
     private boolean decodingBody;
 
     private Optional<String> secondStatusLine = Optional.empty();
+    /** Stays true, because nothing is decoded behind the response. */
+    private boolean invalidField;
+
     private boolean failed;
     private boolean closed;
 
@@ -128,7 +131,7 @@
             return;
         }
         int start = input.readerIndex();
-        int expectedStatusLines = decodingResponse ? 0 : 1;
+        boolean statusLineExpected = !decodingResponse;
         boolean inHead = !decodingBody;
         ByteBuf checked = chunkSizes.beforeStep(input);
         super.decode(context, checked, output);
@@ -137,7 +140,10 @@
             // The decoder drops some bytes of heads, chunk sizes and trailers, so what is decoded does not show all of
             // them.
             String lines = input.toString(start, input.readerIndex() - start, StandardCharsets.ISO_8859_1);
-            secondStatusLine = secondStatusLine.or(() -> StatusLines.find(lines, expectedStatusLines));
+            secondStatusLine = secondStatusLine.or(() -> StatusLines.find(lines, statusLineExpected ? 1 : 0));
+            if (inHead && decodingResponse) {
+                invalidField |= !FieldLines.areValid(lines, statusLineExpected);
+            }
         }
         if (!output.isEmpty()) {
             checkDecoded(output);
@@ -157,6 +163,11 @@
                 head.setDecoderResult(refusal());
                 releaseBehind(output, 1);
             }
+            if (invalidField && head.decoderResult().isSuccess()) {
+                head.setDecoderResult(
+                        DecoderResult.failure(new IllegalArgumentException("a response has an invalid field line")));
+                releaseBehind(output, 1);
+            }
             if (interim && head.decoderResult().isSuccess() && !allowsInterim(head)) {
                 head.setDecoderResult(DecoderResult.failure(new IllegalArgumentException(
                         "the server switched protocols or sent too many interim responses")));
--- a/fireflywalk-services/src/test/java/io/fireflywalk/services/http/BegunResponseProperties.java
+++ b/fireflywalk-services/src/test/java/io/fireflywalk/services/http/BegunResponseProperties.java
@@ -22,6 +22,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.stream.Stream;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
@@ -41,9 +42,19 @@
     private static final List<String> EXTRA_HEADERS = List.of(
             "Via: HTTP/1.1 proxy.example",
             "Not-Executed: 1",
+            "Date: Sun, 06 Dec 2026 02:30:00 GMT",
+            "Server-Version: 1",
+            "Empty:");
+    private static final List<String> INVALID_HEADERS = List.of(
             "Date : Sun, 06 Dec 2026 02:30:00 GMT",
+            "Date\t: Sun, 06 Dec 2026 02:30:00 GMT",
             "Server version: 1",
-            "Empty:");
+            "Server\u0001Version: 1",
+            "Content-Length : 3",
+            "Transfer-Encoding : chunked",
+            " folded: 1",
+            ": 1",
+            "Server");
     private static final List<String> BODIES = List.of("", "body", "{\"status\": 200}\r\n", "x".repeat(300));
 
     /** How the end of the body is known. */
@@ -83,13 +94,24 @@
         return response("first");
     }
 
+    @Provide
+    Arbitrary<Response> earlierWithAnyHeaders() {
+        return response(
+                "first",
+                Stream.concat(EXTRA_HEADERS.stream(), INVALID_HEADERS.stream()).toList());
+    }
+
     @Provide
     Arbitrary<Response> own() {
         return response("second");
     }
 
     private static Arbitrary<Response> response(String identifier) {
-        Arbitrary<List<String>> headers = Arbitraries.of(EXTRA_HEADERS)
+        return response(identifier, EXTRA_HEADERS);
+    }
+
+    private static Arbitrary<Response> response(String identifier, List<String> extraHeaders) {
+        Arbitrary<List<String>> headers = Arbitraries.of(extraHeaders)
                 .set()
                 .map(some -> {
                     List<String> all = new ArrayList<>(some);
@@ -148,7 +170,10 @@
 
     @Property(tries = 5000)
     void noHeadHasPartsOfTwoResponses(
-            @ForAll("earlier") Response earlier, @ForAll("own") Response own, @ForAll int cut, @ForAll long seed) {
+            @ForAll("earlierWithAnyHeaders") Response earlier,
+            @ForAll("own") Response own,
+            @ForAll int cut,
+            @ForAll long seed) {
         String text = earlier.text();
         String beginning = text.substring(0, Math.floorMod(cut, text.length() + 1));
         EmbeddedChannel channel = new EmbeddedChannel(decoder(true));
@@ -213,6 +238,26 @@
         channel.finishAndReleaseAll();
     }
 
+    @Provide
+    Arbitrary<String> invalidHeader() {
+        return Arbitraries.of(INVALID_HEADERS);
+    }
+
+    @Property
+    void responseWithAnInvalidFieldLineIsInvalid(
+            @ForAll("own") Response own,
+            @ForAll("invalidHeader") String invalid,
+            @ForAll int place,
+            @ForAll long seed) {
+        List<String> headers = new ArrayList<>(own.headers());
+        headers.add(Math.floorMod(place, headers.size() + 1), invalid);
+        Response response =
+                new Response(own.status(), own.reason(), own.identifier(), headers, own.framing(), own.body());
+        EmbeddedChannel channel = new EmbeddedChannel(decoder(true));
+        assertEquals(List.of(), decode(channel, response.text(), new Random(seed)));
+        channel.finishAndReleaseAll();
+    }
+
     @Property
     void responseThatDoesNotBeginWithAStatusLineIsInvalid(
             @ForAll("firstWords") String firstWords, @ForAll("own") Response own, @ForAll long seed) {
--- a/fireflywalk-services/src/test/java/io/fireflywalk/services/http/BrokenResponseToServiceCallTest.java
+++ b/fireflywalk-services/src/test/java/io/fireflywalk/services/http/BrokenResponseToServiceCallTest.java
@@ -17,6 +17,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Arrays;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
@@ -131,6 +132,31 @@
         assertEquals(call.failure.name(), outcome(call, response, Ending.NONE, "text"));
     }
 
+    static Stream<Arguments> callsAndInvalidFields() {
+        return Stream.of(
+                        "X Other: value",
+                        "X\tOther: value",
+                        "X-Other : value",
+                        "X-Other\t: value",
+                        " X-Other: value",
+                        "X\u0001Other: value",
+                        "X\u007fOther: value",
+                        "Content-Length : 3",
+                        "Transfer-Encoding : chunked",
+                        ": value",
+                        "X-Other")
+                .flatMap(line -> Arrays.stream(Call.values()).map(call -> Arguments.of(line, call)));
+    }
+
+    @ParameterizedTest
+    @MethodSource("callsAndInvalidFields")
+    void invalidFieldNameFailsAtOnce(String field, Call call) throws Exception {
+        for (String head : List.of(field + "\r\nX-Last: value", "X-First: value\r\n" + field)) {
+            String response = "HTTP/1.1 200 OK\r\n" + head + "\r\n\r\n" + call.body;
+            assertEquals(call.failure.name(), outcome(call, response, Ending.END_AFTER_UPLOAD, "text"), head);
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(
             strings = {
