--- a/fireflywalk-services/src/main/java/io/fireflywalk/services/http/ResponseCodec.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/http/ResponseCodec.java
@@ -99,7 +99,7 @@
         }
         ChannelPromise written = promise;
         if (message instanceof LastHttpContent) {
-            // A void promise, which a flush without a listener uses, takes no listeners.
+            // A void promise accepts no listeners.
             written = promise.unvoid();
             written.addListener(write -> {
                 if (write.isSuccess()) {
--- a/fireflywalk-services/src/main/java/io/fireflywalk/services/http/ResponseDecoder.java
+++ b/fireflywalk-services/src/main/java/io/fireflywalk/services/http/ResponseDecoder.java
@@ -23,8 +23,8 @@
 import java.util.function.BooleanSupplier;
 
 /**
- * Decoder of the responses on a connection. It decodes a response as invalid whose head or trailers contain a second status
- * line or whose head contains an invalid field line, and a body as invalid that {@link ChunkSizeCheck} refuses or that may have been cut; nothing follows an invalid
+ * Decoder of the responses on a connection. It decodes as invalid: a head or trailers with a second status line; a head with
+ * an invalid field line; a body that {@link ChunkSizeCheck} refuses or that may have been cut. Nothing follows an invalid
  * part. It discards interim responses unless its user follows the requests, and decodes one as invalid that
  * {@link InterimResponseLimit} does not allow. Confined to the event loop of the connection.
  */
@@ -159,19 +159,11 @@
     private void checkDecoded(List<Object> output) {
         if (output.get(0) instanceof HttpResponse head) {
             decodingBody = true;
-            if (secondStatusLine.isPresent() && head.decoderResult().isSuccess()) {
-                head.setDecoderResult(refusal());
-                releaseBehind(output, 1);
-            }
-            if (invalidField && head.decoderResult().isSuccess()) {
-                head.setDecoderResult(
-                        DecoderResult.failure(new IllegalArgumentException("a response has an invalid field line")));
-                releaseBehind(output, 1);
-            }
-            if (interim && head.decoderResult().isSuccess() && !allowsInterim(head)) {
-                head.setDecoderResult(DecoderResult.failure(new IllegalArgumentException(
-                        "the server switched protocols or sent too many interim responses")));
-                releaseBehind(output, 1);
+            if (head.decoderResult().isSuccess()) {
+                findFailure(head).ifPresent(failure -> {
+                    head.setDecoderResult(DecoderResult.failure(failure));
+                    releaseBehind(output, 1);
+                });
             }
         }
         int last = output.size() - 1;
@@ -180,10 +172,7 @@
             decodingBody = false;
             finalResponseDue &= interim;
             if (secondStatusLine.isPresent() && end.decoderResult().isSuccess()) {
-                LastHttpContent invalid = new DefaultLastHttpContent();
-                invalid.setDecoderResult(refusal());
-                releaseBehind(output, last);
-                output.add(invalid);
+                replaceEnd(output, joinedResponses());
             }
             secondStatusLine = Optional.empty();
         }
@@ -195,13 +184,51 @@
         }
     }
 
+    /** Returns why a head is invalid that the superclass has decoded; nothing if it is valid. */
+    private Optional<Exception> findFailure(HttpResponse head) {
+        if (secondStatusLine.isPresent()) {
+            return Optional.of(joinedResponses());
+        }
+        if (invalidField) {
+            return Optional.of(new IllegalArgumentException("a response has an invalid field line"));
+        }
+        if (interim && !allowsInterim(head)) {
+            return Optional.of(
+                    new IllegalArgumentException("the server switched protocols or sent too many interim responses"));
+        }
+        return Optional.empty();
+    }
+
     private boolean allowsInterim(HttpResponse head) {
         return interimResponses.map(limit -> limit.allows(head.status().code())).orElse(true);
     }
 
-    private DecoderResult refusal() {
+    private Exception joinedResponses() {
         listener.onJoinedHead(secondStatusLine.orElseThrow());
-        return DecoderResult.failure(new IllegalArgumentException("a response contains a second status line"));
+        return new IllegalArgumentException("a response contains a second status line");
+    }
+
+    /**
+     * Decodes what is left at the end of the connection. The end completes a body without a length only if the server
+     * has ended the connection and the whole request was written before. A reset that fails a write ends the connection
+     * without an exception, and an orderly end within the request may precede a reset.
+     */
+    @Override
+    protected void decodeLast(ChannelHandlerContext context, ByteBuf input, List<Object> output) throws Exception {
+        super.decodeLast(context, input, output);
+        int last = output.size() - 1;
+        // An end that a length or a chunk tells has been decoded before, which has ended the body.
+        boolean endedByConnection = decodingBody && last >= 0 && output.get(last) instanceof LastHttpContent;
+        if (endedByConnection && (interrupted || unwrittenRequests > 0)) {
+            replaceEnd(output, new IOException("the connection was lost within a response without a length"));
+        }
+    }
+
+    private static void replaceEnd(List<Object> output, Exception failure) {
+        LastHttpContent invalid = new DefaultLastHttpContent();
+        invalid.setDecoderResult(DecoderResult.failure(failure));
+        releaseBehind(output, output.size() - 1);
+        output.add(invalid);
     }
 
     private static void releaseBehind(List<Object> output, int kept) {
@@ -221,26 +248,6 @@
         }
     }
 
-    /**
-     * Decodes what is left at the end of the connection. The end completes a body without a length only if the server
-     * has ended the connection and the whole request was written before. A reset that fails a write ends the connection
-     * without an exception, and an orderly end within the request may precede a reset.
-     */
-    @Override
-    protected void decodeLast(ChannelHandlerContext context, ByteBuf input, List<Object> output) throws Exception {
-        super.decodeLast(context, input, output);
-        int last = output.size() - 1;
-        // An end that a length or a chunk tells has been decoded before, which has ended the body.
-        boolean endedByConnection = decodingBody && last >= 0 && output.get(last) instanceof LastHttpContent;
-        if (endedByConnection && (interrupted || unwrittenRequests > 0)) {
-            LastHttpContent invalid = new DefaultLastHttpContent();
-            invalid.setDecoderResult(DecoderResult.failure(
-                    new IOException("the connection was lost within a response without a length")));
-            releaseBehind(output, last);
-            output.add(invalid);
-        }
-    }
-
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) throws Exception {
         interrupted = true;
