--- a/fireflywalk-services/src/test/java/io/fireflywalk/services/http/BodyWithoutLengthTest.java
+++ b/fireflywalk-services/src/test/java/io/fireflywalk/services/http/BodyWithoutLengthTest.java
@@ -21,6 +21,7 @@
 import java.util.Optional;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against a body without a length that counts as whole although the server did not end it. */
 class BodyWithoutLengthTest {
@@ -121,7 +122,7 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"0", "1"})
+    @ValueSource(ints = {0, 1})
     void requestBeforeItDoesNotCountAsUnwritten(int earlierRequests) throws Exception {
         EmbeddedChannel channel = channel(Write.DONE);
         for (int request = 0; request < earlierRequests; request++) {
