--- a/review/standins-3/Store.java
+++ b/review/standins-3/Store.java
@@ -13,11 +13,18 @@
 
 /**
  * Stand-in of the platform's store (rows-get, rows-feed, rows-tx) and of its API (usage, scale). A change is acknowledged
- * when it is applied. Keeps all history.
+ * when it is applied. Keeps all history. It can be away, and come back from a copy that it had at an earlier version.
  */
 final class Store implements AutoCloseable {
     private record Row(String table, String key, String value, long version) {}
 
+    /** A usage report, and whether it was accepted: its fencing token is none lower than one seen before. */
+    record Report(String holder, long token, long window, Map<String, Object> counts, boolean accepted) {}
+
+    private final List<Report> reports = new ArrayList<>();
+    private long highestToken;
+    private int era = 1;
+    private boolean away;
     private final ServerSocket server;
     private final Map<String, Row> rows = new TreeMap<>();
     private final List<Row> changes = new ArrayList<>();
@@ -42,6 +49,62 @@
         change(new Row(table, key, null, ++version));
     }
 
+    synchronized long version() {
+        return version;
+    }
+
+    synchronized List<Report> reports() {
+        return List.copyOf(reports);
+    }
+
+    /** Returns the text of a row; empty if there is none. */
+    synchronized String text(String table, String key) {
+        Row row = rows.get(table + "\n" + key);
+        return row == null ? "" : new String(Base64.getDecoder().decode(row.value()), StandardCharsets.UTF_8);
+    }
+
+    /** Refuses all calls of the system from now on. */
+    synchronized void leave() {
+        away = true;
+    }
+
+    /** Serves again with all that it has acknowledged. */
+    synchronized void comeBack() {
+        away = false;
+    }
+
+    /**
+     * Serves again from the copy of a version. What the system has written since is gone, and the versions are given out
+     * again; what the operator and the runners have written since is written again.
+     */
+    synchronized void comeBackFrom(long copy) {
+        List<Row> lost = changes.stream().filter(row -> row.version() > copy).toList();
+        List<Row> kept = changes.stream().filter(row -> row.version() <= copy).toList();
+        rows.clear();
+        changes.clear();
+        version = copy;
+        kept.forEach(this::change);
+        for (Row row : lost) {
+            if (row.table().equals("op") || row.table().equals("servers")) {
+                change(new Row(row.table(), row.key(), row.value(), ++version));
+            }
+        }
+        era++;
+        away = false;
+        notifyAll();
+    }
+
+    private synchronized String[] report(Http.Head head, Map<String, Object> body) {
+        long token = Long.parseLong(head.header("X-Fireflywalk-Fencing-Token").orElseThrow());
+        String holder = head.header("X-Fireflywalk-Duty-Holder").orElseThrow();
+        boolean accepted = token >= highestToken;
+        highestToken = Math.max(highestToken, token);
+        @SuppressWarnings("unchecked")
+        Map<String, Object> counts = new TreeMap<>((Map<String, Object>) body.get("counts"));
+        reports.add(new Report(holder, token, (long) body.get("window"), counts, accepted));
+        return new String[] {accepted ? "200" : "409", "{}"};
+    }
+
     private void change(Row row) {
         String id = row.table() + "\n" + row.key();
         if (row.value() == null) {
@@ -77,7 +140,7 @@
                 String body = new String(Http.readBody(in, head.get()), StandardCharsets.UTF_8);
                 String[] answer = answer(head.get(), body);
                 byte[] bytes = answer[1].getBytes(StandardCharsets.UTF_8);
-                out.write(("HTTP/1.1 " + answer[0] + " X\r\nContent-Type: application/json\r\nContent-Length: "
+                out.write(("HTTP/1.1 " + answer[0] + " X\r\nStore-Era: " + era + "\r\nContent-Type: application/json\r\nContent-Length: "
                                 + bytes.length + "\r\n\r\n")
                         .getBytes(StandardCharsets.ISO_8859_1));
                 out.write(bytes);
@@ -91,15 +154,23 @@
     private String[] answer(Http.Head head, String body) {
         String path = head.path().split("\\?")[0];
         Map<String, String> query = Deployment.query(head.path());
+        if (isAway() && path.startsWith("/v1/")) {
+            return new String[] {"503", "{}"};
+        }
         return switch (path) {
             case "/v1/rows-get" -> get(query);
             case "/v1/rows-feed" -> feed(query);
             case "/v1/rows-tx" -> transact(Json.object(body));
-            case "/usage", "/scale" -> new String[] {"200", "{}"};
+            case "/usage" -> report(head, Json.object(body));
+            case "/scale" -> new String[] {"200", "{}"};
             default -> new String[] {"404", "{}"};
         };
     }
 
+    private synchronized boolean isAway() {
+        return away;
+    }
+
     private synchronized String[] get(Map<String, String> query) {
         String from = query.getOrDefault("from", "");
         String to = query.getOrDefault("to", "");
@@ -115,7 +186,14 @@
     private synchronized String[] feed(Map<String, String> query) {
         long after = Long.parseLong(query.get("after"));
         long end = System.nanoTime() + Long.parseLong(query.getOrDefault("waitMs", "0")) * 1_000_000;
+        int startEra = era;
         while (true) {
+            if (away) {
+                return new String[] {"503", "{}"};
+            }
+            if (after > version || era != startEra) {
+                return new String[] {"410", "{}"};
+            }
             List<String> found = changes.stream()
                     .filter(row -> row.version() > after && row.table().equals(query.get("table")))
                     .map(Store::format)
