--- a/review/standins-3/Deployment.java
+++ b/review/standins-3/Deployment.java
@@ -27,6 +27,8 @@
         this.store = store;
         this.folder = Files.createTempDirectory("review-3-");
         this.record = new PrintWriter(Files.newBufferedWriter(record), true);
+        // A run that is ended from outside must not leave processes behind.
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> nodes.forEach(Node::destroy)));
     }
 
     /** Writes a line to the record, with the seconds since the start. */
@@ -172,8 +174,14 @@
             return process.isAlive() ? -1 : process.exitValue();
         }
 
+        private void destroy() {
+            if (process != null) {
+                process.destroyForcibly();
+            }
+        }
+
         void kill() {
-            process.destroyForcibly();
+            destroy();
             try {
                 process.waitFor();
             } catch (InterruptedException stopped) {
