Report no usage window with two totals after a return of the store

Cause: instances dropped the counts of a window once they were stored, and a missing record of the totals was taken for a window that had not been reported. Both rest on a store that keeps what it has acknowledged. After a return from an older copy the next holder summed what was left and reported it.

Change, in effect only while the store states an era: the totals of a window are announced to the other instances before they are reported, a new holder asks for them before its first report, and a known window is repeated with the same totals. Counts stay in memory while their window may be reported, are copied to two other instances, and are stored again in a new era, those of an instance that has ended by the holders of the copies. A window whose report may be lost while nobody who answers has been informed of reports since is left out and logged (event=usage_window_skipped): one missing report is better than two different ones. Metrics: store_era, store_era_changes, store_era_invalid.

--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
@@ -15,6 +15,7 @@
 import io.fireflywalk.core.ingress.TargetPicker;
 import io.fireflywalk.core.ingress.TargetPlaces;
 import io.fireflywalk.core.ingress.WorkBasedPicker;
+import io.fireflywalk.core.store.StoreEras;
 import io.fireflywalk.daemon.ingress.FleetStore.Table;
 import io.fireflywalk.daemon.ingress.TargetCrashDetector.Connector;
 import io.fireflywalk.daemon.operators.MetricsRenderer;
@@ -144,11 +145,17 @@
         this.peerConfiguration = new PeerConfigurationSync(
                 vertx, settings, timers, random, configuration, configurationWatcher, coordinator);
         UsageCounter usageCounter = createUsageCounter(settings, timers);
-        this.usageReporter =
-                new IngressUsageReporter(settings, store, platform.controlPlane(), usageCounter, coordinator, timers);
         PromptPlacement promptPlacement = new PromptPlacement(RunnerLatencyModel.defaults(), random);
         this.datagrams = new PeerDatagrams(vertx);
         FleetBroadcaster broadcaster = new FleetBroadcaster(datagrams, settings, coordinator, random);
+        this.usageReporter = new IngressUsageReporter(
+                settings,
+                store,
+                platform.controlPlane(),
+                usageCounter,
+                coordinator,
+                new UsageExchange(settings, store, coordinator, broadcaster, datagrams, timers),
+                timers);
         PlacementBroadcaster placementBroadcaster = new PlacementBroadcaster(broadcaster, timers, directory);
         boolean contention = platform.features().contains(DeploymentFeature.CONTENTION);
         ServiceLoads loads = new ServiceLoads(contention);
@@ -203,6 +210,7 @@
                 new IngressServer(vertx, context, this::requestsPerTarget, callerBounds, callerMemory, this::hasLoaded);
         this.decisionHandler = new DecisionHandler(context, this::requestsPerTarget, server::isRejectingNewRequests);
         registerGauges(bodyMemory, requestQueue);
+        registerStoreGauges(store.eras());
     }
 
     private TableWatcher createTargetWatcher(FleetStore store, RandomGenerator random) {
@@ -277,6 +285,12 @@
                 "lease_held", (Gauge<Integer>) () -> coordinator.fencingToken().isPresent() ? 1 : 0);
     }
 
+    private void registerStoreGauges(StoreEras eras) {
+        registry.register("store_era", (Gauge<Long>) () -> eras.current().orElse(0L));
+        registry.register("store_era_changes", (Gauge<Long>) eras::changes);
+        registry.register("store_era_invalid", (Gauge<Long>) eras::invalid);
+    }
+
     private static UsageCounter createUsageCounter(IngressSettings settings, TimerService timers) {
         return new UsageCounter(
                 timers,
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressUsageReporter.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressUsageReporter.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
+import io.fireflywalk.daemon.ingress.FleetStore.CommitResult;
 import io.fireflywalk.daemon.ingress.FleetStore.FleetRow;
 import io.fireflywalk.daemon.ingress.FleetStore.RowTransaction;
 import io.fireflywalk.daemon.ingress.FleetStore.Table;
@@ -28,7 +29,8 @@
 /**
  * Stores this instance's counts of each usage window, and reports the totals of all instances while it holds the lease.
  * The totals of a window are stored before the first report and retries send the stored ones, so that a window is never
- * reported with different totals. Confined to one event loop.
+ * reported with different totals. If the store returns from an older copy, the counts are stored again, and windows of
+ * which any instance knows the totals keep them. Confined to one event loop.
  */
 final class IngressUsageReporter {
     private static final Logger LOG = Logger.getLogger(IngressUsageReporter.class);
@@ -49,12 +51,16 @@
     private final ControlPlane controlPlane;
     private final UsageCounter counter;
     private final FleetCoordinator coordinator;
+    private final UsageExchange exchange;
     private final TimerService timers;
     private final long windowMilliseconds;
     /** Distinguishes the rows of two runs of an instance within one window. */
     private final String runIdentifier = UUID.randomUUID().toString();
 
     private final CompositeDisposable subscriptions = new CompositeDisposable();
+    /** Counts of other instances that are to be stored again, by key. */
+    private final Map<String, Map<String, Long>> copiesToStore = new TreeMap<>();
+
     private boolean storing;
     private boolean reporting;
     private long reportedThrough;
@@ -65,17 +71,20 @@
             ControlPlane controlPlane,
             UsageCounter counter,
             FleetCoordinator coordinator,
+            UsageExchange exchange,
             TimerService timers) {
         this.settings = settings;
         this.store = store;
         this.controlPlane = controlPlane;
         this.counter = counter;
         this.coordinator = coordinator;
+        this.exchange = exchange;
         this.timers = timers;
         this.windowMilliseconds =
                 Duration.ofSeconds(settings.bounds().usageWindowSeconds()).toMillis();
         // Windows from before the start may be unreported, if the whole fleet was stopped before they were closed.
         this.reportedThrough = counter.currentWindow() - 1 - MAXIMUM_AGE_WINDOWS;
+        coordinator.onEraChanged(this::storeAgain);
     }
 
     void start() {
@@ -89,20 +98,32 @@
     /** Stops and stores all counts, including those of the open window. */
     Completable stop() {
         subscriptions.dispose();
-        return storeWindows(counter.allCounts());
+        return storeWindows(counter.allCounts(), Map.of());
+    }
+
+    /** Has everything stored again that the store may have lost and that may still be reported. */
+    private void storeAgain() {
+        counter.restoreStored();
+        String oldest = windowKey(counter.currentWindow() - 1 - MAXIMUM_AGE_WINDOWS);
+        exchange.copies().entrySet().stream()
+                .filter(copy -> copy.getKey().compareTo(oldest) >= 0)
+                .forEach(copy -> copiesToStore.put(copy.getKey(), copy.getValue()));
     }
 
     private void storeCounts(long beforeWindow) {
-        if (storing || counter.countsBefore(beforeWindow).isEmpty()) {
+        Map<Long, Map<String, Long>> closed = counter.countsBefore(beforeWindow);
+        if (storing || (closed.isEmpty() && copiesToStore.isEmpty())) {
             return;
         }
         storing = true;
-        List<Long> stored = List.copyOf(counter.countsBefore(beforeWindow).keySet());
-        subscriptions.add(storeWindows(counter.countsBefore(beforeWindow))
+        List<Long> stored = List.copyOf(closed.keySet());
+        Set<String> storedCopies = Set.copyOf(copiesToStore.keySet());
+        subscriptions.add(storeWindows(closed, copiesToStore)
                 .subscribe(
                         () -> {
                             storing = false;
-                            stored.forEach(counter::remove);
+                            stored.forEach(counter::markStored);
+                            copiesToStore.keySet().removeAll(storedCopies);
                         },
                         cause -> {
                             storing = false;
@@ -110,22 +131,28 @@
                         }));
     }
 
-    private Completable storeWindows(Map<Long, Map<String, Long>> windows) {
-        if (windows.isEmpty()) {
+    private Completable storeWindows(Map<Long, Map<String, Long>> windows, Map<String, Map<String, Long>> copies) {
+        if (windows.isEmpty() && copies.isEmpty()) {
             return Completable.complete();
         }
         RowTransaction transaction = RowTransaction.empty();
         for (Map.Entry<Long, Map<String, Long>> window : windows.entrySet()) {
-            ObjectNode counts = Codec.json().mapper().createObjectNode();
-            window.getValue().forEach(counts::put);
-            transaction = transaction.withWrite(
-                    Table.USAGE,
-                    windowKey(window.getKey()) + settings.instance().name() + "/" + runIdentifier,
-                    Buffer.buffer(counts.toString()));
+            String key = windowKey(window.getKey()) + settings.instance().name() + "/" + runIdentifier;
+            exchange.copy(key, window.getValue());
+            transaction = transaction.withWrite(Table.USAGE, key, encode(window.getValue()));
+        }
+        for (Map.Entry<String, Map<String, Long>> copy : copies.entrySet()) {
+            transaction = transaction.withWrite(Table.USAGE, copy.getKey(), encode(copy.getValue()));
         }
         return store.commit(transaction).ignoreElement();
     }
 
+    private static Buffer encode(Map<String, Long> counts) {
+        ObjectNode encoded = Codec.json().mapper().createObjectNode();
+        counts.forEach(encoded::put);
+        return Buffer.buffer(encoded.toString());
+    }
+
     private static String windowKey(long window) {
         return String.format(Locale.ROOT, "%016d/", window);
     }
@@ -135,7 +162,8 @@
     private void report() {
         if (reporting
                 || coordinator.fencingToken().isEmpty()
-                || settings.reports().isEmpty()) {
+                || settings.reports().isEmpty()
+                || !exchange.isInformed(coordinator.fencingToken().get())) {
             return;
         }
         long newest = (timers.wallClockMilliseconds() - CLOSE_DELAY.toMillis()) / windowMilliseconds - 1;
@@ -163,9 +191,48 @@
 
     /** Reports a window; emits false if counts of an instance are still awaited. */
     private Single<Boolean> reportWindow(long window) {
-        return storedTotals(window)
-                .flatMapSingle(totals -> sendReport(window, totals).toSingleDefault(true))
-                .defaultIfEmpty(false);
+        String key = windowKey(window);
+        if (exchange.isIncomplete(key)) {
+            LOG.warnf("event=usage_window_skipped window=%d cause=\"another instance announced totals\"", window);
+            return Single.just(true);
+        }
+        return store.read(Table.REPORT, key, key + '\0', 1).flatMap(page -> {
+            if (exchange.totals(key).isPresent()) {
+                return repeatReport(
+                        window, exchange.totals(key).get(), page.rows().isEmpty());
+            }
+            if (page.rows().isEmpty() && mayHaveLostReport(window)) {
+                LOG.warnf("event=usage_window_skipped window=%d cause=\"the store may have lost its report\"", window);
+                return Single.just(true);
+            }
+            Maybe<Map<String, Long>> totals = page.rows().isEmpty()
+                    ? sumCounts(window, "", new TreeMap<>(), new HashSet<>()).flatMap(sum -> storeTotals(key, sum))
+                    : Maybe.just(parseCounts(page.rows().get(0)));
+            return totals.flatMapSingle(found -> {
+                        exchange.announce(key, found);
+                        return sendReport(window, found).toSingleDefault(true);
+                    })
+                    .defaultIfEmpty(false);
+        });
+    }
+
+    /** Reports the totals that an instance has announced, which the store may have lost. */
+    private Single<Boolean> repeatReport(long window, Map<String, Long> totals, boolean lost) {
+        Completable stored = lost ? commitTotals(windowKey(window), totals).ignoreElement() : Completable.complete();
+        return stored.andThen(sendReport(window, totals)).toSingleDefault(true);
+    }
+
+    /**
+     * Tells whether the window may have been reported before the store returned from an older copy although no instance
+     * that has answered this one knows of it: all that were told of the report have ended.
+     */
+    private boolean mayHaveLostReport(long window) {
+        long earliestReport = (window + 1) * windowMilliseconds + CLOSE_DELAY.toMillis();
+        return coordinator
+                        .eraChangeSeenAt()
+                        .filter(seenAt -> earliestReport <= seenAt)
+                        .isPresent()
+                && earliestReport < exchange.informedSince();
     }
 
     private Completable sendReport(long window, Map<String, Long> totals) {
@@ -189,22 +256,14 @@
         });
     }
 
-    /** Returns the stored totals of the window, or sums and stores them once the window is closed. */
-    private Maybe<Map<String, Long>> storedTotals(long window) {
-        String key = windowKey(window);
-        return store.read(Table.REPORT, key, key + '\0', 1)
-                .flatMapMaybe(page -> page.rows().isEmpty()
-                        ? sumCounts(window, "", new TreeMap<>(), new HashSet<>())
-                                .flatMap(totals -> storeTotals(key, totals))
-                        : Maybe.just(parseCounts(page.rows().get(0))));
+    private Single<CommitResult> commitTotals(String key, Map<String, Long> totals) {
+        return store.commit(RowTransaction.empty()
+                .withPrecondition(Table.REPORT, key, 0)
+                .withWrite(Table.REPORT, key, encode(totals)));
     }
 
     private Maybe<Map<String, Long>> storeTotals(String key, Map<String, Long> totals) {
-        ObjectNode value = Codec.json().mapper().createObjectNode();
-        totals.forEach(value::put);
-        return store.commit(RowTransaction.empty()
-                        .withPrecondition(Table.REPORT, key, 0)
-                        .withWrite(Table.REPORT, key, Buffer.buffer(value.toString())))
+        return commitTotals(key, totals)
                 .flatMapMaybe(result -> result.committed()
                         ? Maybe.just(totals)
                         : Maybe.error(new FireflywalkException(
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/IngressUsageReporterTest.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/IngressUsageReporterTest.java
@@ -50,7 +50,10 @@
         Instance(int index) {
             IngressSettings settings = FleetCoordinatorTest.settings("instance-" + index);
             coordinator = new FleetCoordinator(settings, store, timers, new Random(index));
-            reporter = new IngressUsageReporter(settings, store, controlPlane, counter, coordinator, timers);
+            PeerMessenger messenger = new SilentMessenger();
+            FleetBroadcaster broadcaster = new FleetBroadcaster(messenger, settings, coordinator, new Random(index));
+            UsageExchange exchange = new UsageExchange(settings, store, coordinator, broadcaster, messenger, timers);
+            reporter = new IngressUsageReporter(settings, store, controlPlane, counter, coordinator, exchange, timers);
             coordinator.start();
             reporter.start();
         }
