Let a pool of quotas have one granter after a return of the store

What callers saw: nothing yet. After a return of the store from an older copy, the instances ignored the rows of the pools, whose versions were lower than the ones that they remembered, and wrote on condition of versions that were gone: no pool had a granter until the versions had passed the old ones. Where they passed at once, two instances granted, and an epoch was begun twice.

Change: a new era ends what is known of the rows and keeps the highest epoch. The holder of a valid lease writes its row again and goes on, because nobody can have replaced it; all others wait for a whole term, also if the copy names them or shows a released lease. Nothing is written while the versions known are of an earlier era.

--- a/fireflywalk-core/src/main/java/io/fireflywalk/core/quota/PoolLease.java
+++ b/fireflywalk-core/src/main/java/io/fireflywalk/core/quota/PoolLease.java
@@ -8,6 +8,9 @@
  * {@link #TERM} after it sent a write that succeeded; another instance takes over only after it has seen the same row for
  * longer. Each takeover begins an epoch, and successive epochs begin at least {@link QuotaPool#LIFETIME} apart, so that a
  * granter has to allow for the grants of one predecessor only. Not thread-safe.
+ *
+ * <p>When the store returns from an older copy, the row may name a holder that has been replaced in the lost seconds. Only
+ * the holder of a valid lease goes on, because nobody can have replaced it; all others wait for a whole term.
  */
 public final class PoolLease {
     /** Longer than usual outages of the store, so that granting goes on meanwhile. */
@@ -43,6 +46,14 @@
     private long acquiredAt;
     private long validUntil = Long.MIN_VALUE;
     private boolean resigned;
+    /** Highest epoch known; the store may have lost the row of it. */
+    private long highestEpoch;
+    /** Whether the row is known only as a copy shows it, and so does not tell who has held the lease last. */
+    private boolean shownByCopy;
+    /** Whether this process holds a lease of which the store may have lost the row. */
+    private boolean continued;
+    /** Row of the present era while this process continues its own lease. */
+    private Row shown = observed;
 
     /**
      * Content of the row.
@@ -73,11 +84,45 @@
 
     /** Records the row as read from the store. */
     public void onRow(Row row, long version, ClockReading now) {
-        if (version > observedVersion) {
-            observed = row;
-            observedVersion = version;
-            removed = false;
-            observedAt = now.slow();
+        if (version <= observedVersion) {
+            return;
+        }
+        shownByCopy &= observedVersion == 0;
+        observedVersion = version;
+        removed = false;
+        observedAt = now.slow();
+        shown = row;
+        if (!continued) {
+            observe(row);
+        }
+    }
+
+    private void observe(Row row) {
+        observed = row;
+        highestEpoch = Math.max(highestEpoch, row.epoch());
+    }
+
+    /** Records that the store has returned from an older copy; its rows and versions must be read again. */
+    public void onEraChanged(ClockReading now) {
+        continued = isHeld(now);
+        shownByCopy = true;
+        observedVersion = 0;
+        removed = false;
+        observedAt = now.slow();
+        writtenAt = Long.MIN_VALUE / 2;
+        shown = new Row(NO_HOLDER, "", highestEpoch, 0);
+        if (!continued) {
+            acquired = false;
+            observe(shown);
+        }
+    }
+
+    /** Ends the lease of an earlier era that has not been written again in time. */
+    private void endContinuation(ClockReading now) {
+        if (continued && now.fast() >= validUntil) {
+            continued = false;
+            acquired = false;
+            observe(shown);
         }
     }
 
@@ -100,7 +145,9 @@
     }
 
     private boolean isOwn() {
-        return observed.holder().equals(instance) && observed.process().equals(process);
+        return (continued || !shownByCopy)
+                && observed.holder().equals(instance)
+                && observed.process().equals(process);
     }
 
     /** Returns the latest known content of the row. */
@@ -119,6 +166,7 @@
      * @param rank rank of this instance among the live ones for this pool, 0 for the first
      */
     public Optional<Write> nextWrite(int rank, ClockReading now) {
+        endContinuation(now);
         if (writing || resigned) {
             return Optional.empty();
         }
@@ -128,7 +176,7 @@
         }
         Row row = isOwn()
                 ? new Row(instance, process, observed.epoch(), observed.renewals() + 1)
-                : new Row(instance, process, observed.epoch() + 1, 0);
+                : new Row(instance, process, Math.max(observed.epoch(), highestEpoch) + 1, 0);
         return Optional.of(write(row, now));
     }
 
@@ -141,6 +189,9 @@
     private boolean mayTakeOver(int rank, ClockReading now) {
         long delay = Math.min(rank, MAXIMUM_RANK) * RANK_DELAY;
         long unchanged = now.slow() - observedAt;
+        if (shownByCopy) {
+            return unchanged >= TERM.toNanos() + TAKEOVER_MARGIN + delay;
+        }
         if (observed.holder().equals(NO_HOLDER)) {
             return unchanged >= delay;
         }
@@ -156,6 +207,8 @@
     /** Records that a write has succeeded. */
     public void onWritten(Write write, long version, ClockReading now) {
         writing = false;
+        continued = false;
+        shownByCopy = false;
         onRow(write.row(), version, now);
         if (isOwn() && observedVersion == version) {
             if (!acquired || acquiredEpoch != observed.epoch()) {
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/QuotaLeases.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/QuotaLeases.java
@@ -43,6 +43,7 @@
             leases.add(new PoolLease(instance, process, clock.get()));
         }
         coordinator.onRows(ROW_PREFIX, this::onRow);
+        coordinator.onEraChanged(() -> leases.forEach(lease -> lease.onEraChanged(clock.get())));
     }
 
     /** Returns the state of a pool's lease. */
@@ -52,7 +53,7 @@
 
     /** Attempts the writes that are due. */
     void maintain() {
-        if (!coordinator.watcher().loaded()) {
+        if (!coordinator.watcher().loaded() || !coordinator.watcher().isInCurrentEra()) {
             return;
         }
         for (int pool = 0; pool < QuotaLimits.POOLS; pool++) {
@@ -75,7 +76,9 @@
         for (int pool = 0; pool < QuotaLimits.POOLS; pool++) {
             int number = pool;
             leases.get(pool).resign();
-            leases.get(pool).release(clock.get()).ifPresent(write -> commit(number, write));
+            if (coordinator.watcher().isInCurrentEra()) {
+                leases.get(pool).release(clock.get()).ifPresent(write -> commit(number, write));
+            }
         }
     }
 
@@ -139,7 +142,9 @@
                 .subscribe(
                         page -> {
                             leases.get(pool).onNotWritten();
-                            page.rows().forEach(this::onRow);
+                            if (coordinator.watcher().isInCurrentEra()) {
+                                page.rows().forEach(this::onRow);
+                            }
                         },
                         cause -> {
                             leases.get(pool).onNotWritten();
