Keep quarantined prompt parts when the store loses their rows

What callers saw: in a new era of the store, an instance that wanted to test a quarantined part found its row missing, took it for removed and released the part on all instances, so that requests with it could end targets again.

Change: the versions are forgotten in a new era, so that the row is written again at the next request with the part, and no row is judged while another era has begun. A part that was released in the lost seconds may be refused again until a request has tested it.

--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/PromptQuarantine.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/PromptQuarantine.java
@@ -107,6 +107,7 @@
         broadcaster.onMessage(PromptQuarantineMessages.CRASH_TYPE, this::onReportedCrash);
         broadcaster.onMessage(PromptQuarantineMessages.ANSWER_TYPE, this::onReportedAnswer);
         coordinator.onRows(ROW_PREFIX, this::onRow);
+        coordinator.onEraChanged(this::forgetVersions);
     }
 
     void start() {
@@ -204,7 +205,7 @@
         }
         long untilProbe = state.untilProbe(now);
         if (now - state.storeCalledAt > STORE_RETRY_DELAY.toNanos()) {
-            if (untilProbe <= 0 && state.version > 0) {
+            if (untilProbe <= 0 && state.version > 0 && coordinator.watcher().isInCurrentEra()) {
                 claimProbe(part, state);
             } else if (state.version == 0 && now - state.changedAt > STORE_RETRY_DELAY.toNanos()) {
                 ensureRow(part);
@@ -227,6 +228,14 @@
 
     // Rows
 
+    /** Forgets the versions of rows that the store may have lost; requests with a part have its row written again. */
+    private void forgetVersions() {
+        states.values().forEach(state -> {
+            state.version = 0;
+            state.probeAllowedUntil = Optional.empty();
+        });
+    }
+
     private void onRow(FleetRow row) {
         String part = row.key().substring(ROW_PREFIX.length());
         if (row.value().isEmpty()) {
@@ -331,6 +340,10 @@
         var unused = store.read(Table.COORDINATION, key, key + '\0', 1)
                 .subscribe(
                         page -> {
+                            if (!coordinator.watcher().isInCurrentEra()) {
+                                // Another era has begun, whose rows follow.
+                                return;
+                            }
                             page.rows().forEach(this::onRow);
                             if (page.rows().isEmpty()) {
                                 onMissing.run();
--- a/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/PromptQuarantineTest.java
+++ b/fireflywalk-daemon/src/test/java/io/fireflywalk/daemon/ingress/PromptQuarantineTest.java
@@ -185,6 +185,28 @@
         assertTrue(instance(9).refuses(DEADLY));
     }
 
+    /** Guards against a part that is released, and ends targets again, because the store has lost its row. */
+    @ParameterizedTest
+    @ValueSource(ints = {2, 20, 40})
+    void partStaysRefusedWhenTheStoreReturnsWithoutItsRow(int secondsUntilRequest) {
+        store.setEra(1);
+        start(3);
+        long copy = store.version();
+        for (int crash = 0; crash < 3; crash++) {
+            crashAt(crash, DEADLY);
+        }
+        advance(Duration.ofSeconds(1));
+        store.comeBackFrom(copy);
+        advance(Duration.ofSeconds(secondsUntilRequest));
+        for (int request = 0; request < 4; request++) {
+            assertEquals(3, refusing(DEADLY));
+            advance(Duration.ofSeconds(4));
+        }
+        instances.put("instance-9", new Instance("instance-9"));
+        advance(Duration.ofSeconds(3));
+        assertTrue(instance(9).refuses(DEADLY));
+    }
+
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
     void oneRequestOfTheFleetTestsThePartAndDecides(boolean stillDeadly) {
