Bound the writes of a transaction that stores copies of usage counts again

The store accepts at most 100 writes in a transaction; an instance may keep 256 copies of other instances' counts. More than that would have been refused at each attempt. Copies are written 20 at a time. No failure was seen: found by reading, and no test reaches as many.

--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressUsageReporter.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressUsageReporter.java
@@ -45,6 +45,8 @@
     private static final int MAXIMUM_AGE_WINDOWS = 4;
 
     private static final int PAGE_ROWS = 500;
+    /** The store accepts 100 writes in a transaction, and own counts take up to 72. */
+    private static final int COPIES_PER_TRANSACTION = 20;
 
     private final IngressSettings settings;
     private final FleetStore store;
@@ -117,13 +119,16 @@
         }
         storing = true;
         List<Long> stored = List.copyOf(closed.keySet());
-        Set<String> storedCopies = Set.copyOf(copiesToStore.keySet());
-        subscriptions.add(storeWindows(closed, copiesToStore)
+        Map<String, Map<String, Long>> copies = new TreeMap<>();
+        copiesToStore.entrySet().stream()
+                .limit(COPIES_PER_TRANSACTION)
+                .forEach(copy -> copies.put(copy.getKey(), copy.getValue()));
+        subscriptions.add(storeWindows(closed, copies)
                 .subscribe(
                         () -> {
                             storing = false;
                             stored.forEach(counter::markStored);
-                            copiesToStore.keySet().removeAll(storedCopies);
+                            copiesToStore.keySet().removeAll(copies.keySet());
                         },
                         cause -> {
                             storing = false;
