--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/FleetCoordinator.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/FleetCoordinator.java
@@ -1,21 +1,17 @@
 package io.fireflywalk.daemon.ingress;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.fireflywalk.core.error.ErrorKind;
 import io.fireflywalk.core.error.FireflywalkException;
 import io.fireflywalk.core.store.FencingTokens;
 import io.fireflywalk.daemon.ingress.ControlPlane.LeaseHolder;
+import io.fireflywalk.daemon.ingress.CoordinationRows.LeaseRow;
 import io.fireflywalk.daemon.ingress.FleetStore.FleetRow;
 import io.fireflywalk.daemon.ingress.FleetStore.RowTransaction;
 import io.fireflywalk.daemon.ingress.FleetStore.Table;
-import io.fireflywalk.services.codec.Codec;
 import io.fireflywalk.services.time.TimerService;
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.disposables.CompositeDisposable;
 import io.reactivex.rxjava3.disposables.SerialDisposable;
-import io.vertx.core.buffer.Buffer;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -65,9 +61,6 @@
     /** Spreads the writes of instances that have seen a change of the store's era. */
     private static final Duration MAXIMUM_REWRITE_DELAY = Duration.ofSeconds(1);
 
-    /** Holder in the row of a lease that has been released. */
-    private static final String NO_HOLDER = "";
-
     private final IngressSettings settings;
     private final FleetStore store;
     private final TimerService timers;
@@ -100,11 +93,6 @@
     /** Address of another instance. */
     record Peer(String name, String availabilityZone, String host, int port) {}
 
-    /** Content and version of the lease row; the era is that of its writer, or 0 if the store stated none. */
-    private record LeaseRow(String holder, long token, long era, long version) {
-        private static final LeaseRow NONE = new LeaseRow(NO_HOLDER, 0, 0, 0);
-    }
-
     /** Lease held by this process; its term starts when the latest renewal was sent. */
     private record HeldLease(long token, long version, long sentAt) {}
 
@@ -248,7 +236,7 @@
                         throw new FireflywalkException(
                                 ErrorKind.STORE_UNAVAILABLE, "the lease is of an earlier era", LEASE_KEY);
                     }
-                    return store.commit(leaseWrite(NO_HOLDER, held.token(), held.version()));
+                    return store.commit(leaseWrite(CoordinationRows.NO_HOLDER, held.token(), held.version()));
                 }))
                 .subscribe(
                         result -> LOG.infof(
@@ -276,19 +264,11 @@
 
     private void writeHeartbeat() {
         long sentAt = timers.monotonicNanoseconds();
-        String value = Codec.json()
-                .mapper()
-                .createObjectNode()
-                .put("zone", settings.instance().availabilityZone())
-                .put("host", settings.instance().host())
-                .put("port", settings.listen().peerPort())
-                .put("time", timers.wallClockMilliseconds())
-                .toString();
         subscriptions.add(store.commit(RowTransaction.empty()
                         .withWrite(
                                 Table.COORDINATION,
                                 MEMBER_PREFIX + settings.instance().name(),
-                                Buffer.buffer(value)))
+                                CoordinationRows.encodeMember(settings, timers.wallClockMilliseconds())))
                 .subscribe(
                         done -> {
                             firstHeartbeatAt = Optional.of(firstHeartbeatAt.orElse(timers.monotonicNanoseconds()));
@@ -362,41 +342,19 @@
         if (row.value().isEmpty()) {
             members.remove(name);
         } else if (members.containsKey(name) || members.size() < MAXIMUM_MEMBERS) {
-            parse(row)
-                    .ifPresent(content -> members.put(
-                            name,
-                            new Member(
-                                    new Peer(
-                                            name,
-                                            content.path("zone").asText(),
-                                            content.path("host").asText(),
-                                            content.path("port").asInt()),
-                                    timers.monotonicNanoseconds())));
-        }
-    }
-
-    private static Optional<JsonNode> parse(FleetRow row) {
-        try {
-            String text = row.value().orElse(Buffer.buffer("{}")).toString(StandardCharsets.UTF_8);
-            return Optional.of(Codec.json().read(text, JsonNode.class, row.key()));
-        } catch (FireflywalkException exception) {
-            LOG.warnf("event=row_unreadable key=%s cause=\"%s\"", row.key(), exception.getMessage());
-            return Optional.empty();
+            CoordinationRows.decodeMember(name, row)
+                    .ifPresent(peer -> members.put(name, new Member(peer, timers.monotonicNanoseconds())));
         }
     }
 
     // Lease
 
     private void onLeaseRow(FleetRow row) {
-        Optional<JsonNode> content = parse(row);
-        if (content.isEmpty()) {
+        Optional<LeaseRow> decoded = CoordinationRows.decodeLease(row);
+        if (decoded.isEmpty()) {
             return;
         }
-        observedLease = new LeaseRow(
-                content.get().path("holder").asText(),
-                content.get().path("token").asLong(),
-                content.get().path("era").asLong(),
-                row.version());
+        observedLease = decoded.get();
         leaseObservedAt = timers.monotonicNanoseconds();
         if (heldLease.isPresent() && observedLease.version() > heldLease.get().version() && !leaseWriteInFlight) {
             if (!observedLease.holder().equals(settings.instance().name())
@@ -451,8 +409,7 @@
             return true;
         }
         // A release that the copy shows may have been followed by a takeover that is gone.
-        boolean released = observedLease.holder().equals(NO_HOLDER)
-                && observedLease.era() == watcher.era().orElse(0L);
+        boolean released = observedLease.isReleasedIn(watcher.era());
         boolean ownLapsed = ownToken > 0
                 && observedLease.holder().equals(settings.instance().name())
                 && observedLease.token() == ownToken;
@@ -462,12 +419,9 @@
     }
 
     private RowTransaction leaseWrite(String holder, long token, long version) {
-        ObjectNode value =
-                Codec.json().mapper().createObjectNode().put("holder", holder).put("token", token);
-        watcher.era().ifPresent(era -> value.put("era", era));
         return RowTransaction.empty()
                 .withPrecondition(Table.COORDINATION, LEASE_KEY, version)
-                .withWrite(Table.COORDINATION, LEASE_KEY, Buffer.buffer(value.toString()));
+                .withWrite(Table.COORDINATION, LEASE_KEY, CoordinationRows.encodeLease(holder, token, watcher.era()));
     }
 
     private void writeLease(long token, long version, boolean takeover) {
--- a/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
+++ b/fireflywalk-daemon/src/main/java/io/fireflywalk/daemon/ingress/IngressDaemon.java
@@ -148,14 +148,7 @@
         PromptPlacement promptPlacement = new PromptPlacement(RunnerLatencyModel.defaults(), random);
         this.datagrams = new PeerDatagrams(vertx);
         FleetBroadcaster broadcaster = new FleetBroadcaster(datagrams, settings, coordinator, random);
-        this.usageReporter = new IngressUsageReporter(
-                settings,
-                store,
-                platform.controlPlane(),
-                usageCounter,
-                coordinator,
-                new UsageExchange(settings, store, coordinator, broadcaster, datagrams, timers),
-                timers);
+        this.usageReporter = createUsageReporter(platform, usageCounter, broadcaster);
         PlacementBroadcaster placementBroadcaster = new PlacementBroadcaster(broadcaster, timers, directory);
         boolean contention = platform.features().contains(DeploymentFeature.CONTENTION);
         ServiceLoads loads = new ServiceLoads(contention);
@@ -213,6 +206,14 @@
         registerStoreGauges(store.eras());
     }
 
+    private IngressUsageReporter createUsageReporter(
+            IngressPlatform platform, UsageCounter counter, FleetBroadcaster broadcaster) {
+        UsageExchange exchange =
+                new UsageExchange(settings, platform.store(), coordinator, broadcaster, datagrams, timers);
+        return new IngressUsageReporter(
+                settings, platform.store(), platform.controlPlane(), counter, coordinator, exchange, timers);
+    }
+
     private TableWatcher createTargetWatcher(FleetStore store, RandomGenerator random) {
         boolean relayUsable = StoreRelay.usableWith(settings.bounds());
         return new TableWatcher(
